--- /dev/null
+++ b/choice/bench_test.go
@@ -0,0 +1,44 @@
+package choice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"curlewsail/choice"
+)
+
+// BenchmarkRequest measures one request with its outcome, at a small deployment and at a large one.
+func BenchmarkRequest(b *testing.B) {
+	for _, size := range [...]struct{ gateways, backends int }{{3, 10}, {400, 87}} {
+		b.Run(fmt.Sprintf("%dx%d", size.gateways, size.backends), func(b *testing.B) {
+			cfg := plain()
+			cfg.Gateways = size.gateways
+			rec := &lastSend{}
+			g, err := choice.New(cfg, 7, 0, rec)
+			if err != nil {
+				b.Fatal(err)
+			}
+			g.Members(0, choice.Cached, backends(uint32(size.backends)))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := time.Duration(i) * 20 * ms
+				id := uint32(i + 1)
+				g.Request(now, choice.Request{ID: id, Customer: uint64(i % 200), Spread: size.gateways, Units: 1, TimeLeft: time.Second})
+				if rec.id == id {
+					g.Outcome(now+10*ms, choice.Outcome{ID: id, Backend: rec.backend, Elapsed: 10 * ms, Over: true, Metered: true, Used: 0.5})
+				}
+			}
+		})
+	}
+}
+
+// lastSend remembers the last attempt sent.
+type lastSend struct{ id, backend uint32 }
+
+func (l *lastSend) Send(id, backend uint32, _ time.Duration) { l.id, l.backend = id, backend }
+func (l *lastSend) Refuse(uint32, time.Duration)             {}
+func (l *lastSend) Fail(uint32)                              {}
+func (l *lastSend) Cancel(uint32, int)                       {}
+func (l *lastSend) Probe(uint32)                             {}
+func (l *lastSend) After(time.Duration, uint64)              {}
--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,898 @@
+package choice
+
+// Every decision of the gateway stands in this file, in the order in which a
+// request meets them. The interface, its types, events and actions, stands in
+// choice/api.go. The mechanism and its source are told in docs/design.md.
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Settings. All tuned values stand here; each is a ratio to what Config states.
+const (
+	smoothUnits  = 8.0  // units: the offered rate is averaged over the time the rate takes to fill them
+	smoothLeast  = 1.5  // meter periods: the shortest such average
+	smoothOpen   = 2.0  // meter periods: the average where the reading is of open attempts
+	surgeUnits   = 0.4  // units: asked above the expected, they begin to tell of a surge
+	surgeRepeat  = 1.5  // units as which a client's repeat counts besides: another gateway has refused it
+	openPart     = 0.4  // mean of open attempts over their peak in a period
+	doubtShare   = 2.0  // deviations of what others may have passed since that the store must hold besides
+	boundPeriods = 6.0  // meter periods after which the store last shown says nothing of the one now
+	startUse     = 0.8  // share of its quota that a customer is taken to ask before any reading
+	startUnits   = 1.7  // units of quota in a reading that weigh as much as that guess
+	calmUse      = 0.25 // share of its quota that a customer is taken to ask at least
+	leastChance  = 0.02 // floor of the admit chance, so that some answers always bring readings
+	lagGuess     = 2    // meter periods from the end of a period to its first reading, until learned
+	lagMost      = 13   // meter periods of lag that can be told
+	lagReadings  = 100  // readings over which the lag is learned
+	slotsPeriod  = 4    // slots of own history in one meter period
+	slotsKept    = 64   // slots of own history kept: lagMost periods and a little more
+	idlePeriods  = 60.0 // meter periods without a request after which a full customer is forgotten
+	sweepEvery   = 8.0  // meter periods between two sweeps of idle customers
+	failAverage  = 0.15 // weight of one outcome in a backend's share of failures
+	ejectOver    = 0.5  // share of failures at which a backend is ejected
+	ejectMost    = 0.4  // share of the ready fleet that may be ejected at once
+	ejectAims    = 8.0  // longest aims that an ejection lasts
+	silentAims   = 0.4  // longest aims without any answer while attempts are out: the backend is silent
+	hedgeAims    = 0.65 // aims of waiting before a further attempt may be made for want of an answer
+	retryShare   = 0.08 // further attempts earned by one first attempt
+	retryBank    = 6.0  // further attempts that may be saved up
+	latAims      = 5.0  // longest aims over which a backend's latency is averaged, however few its answers
+	latLeast     = 0.05 // weight of one answer in it at least
+	latUnheard   = 4.0  // a time-out weighs as so many answers
+	latMost      = 8.0  // means: one answer counts as no slower
+	slowBackend  = 2.5  // fleet means at which a backend's latency no longer speaks for the fleet
+	calmAims     = 0.35 // mean latency in aims above which the fleet counts as pressed
+	windowCut    = 0.25 // most that one step takes off the window of attempts out
+	windowGrow   = 0.10 // most that one step adds to it
+	pressLatest  = 0.3  // most weight of one step's answers in the mean latency that the window follows
+	pressMost    = 2.0  // calm latencies as which one answer counts at most, near a median
+	pressAnswer  = 0.2  // weight of one answer in it
+	windowWidest = 5.0  // attempts out for each ready backend, all gateways together, with the window open
+	windowLeast  = 0.2  // part of the window that stays open
+	windowSlack  = 1.0  // deviations by which chance may take the attempts out beyond the window
+	clearAverage = 0.05 // weight of one request in the share that no pressure refuses
+	windowSpare  = 0.5  // share of the window kept for the work of most worth
+	pressSteps   = 5.0  // steps of the window in one second
+	pickLeast    = 3    // backends taken by chance of which the best is picked, at least
+	pickFleets   = 3    // fleets of such picks at one time, over all gateways
+	costOut      = 1.5  // weight of an own attempt out at a backend
+	costOthers   = 0.5  // weight of a request that its report shows besides
+	costLeast    = 0.5  // means: no backend's latency counts as shorter
+	costZone     = 5.0  // weight of the price for leaving the zone
+	costFails    = 4.0  // weight of a share of failures
+	costChance   = 0.1  // part of the cost left to chance
+	probeShare   = 0.3  // probes earned by one first attempt, where reports show the requests held
+	probeAims    = 3.0  // longest aims for which a report tells of its own backend, not of the fleet alone
+	adviceParts  = 2    // advice given with a refusal: the longest that clients follow over this
+)
+
+// Gateway decides for one gateway. See the package comment for its contract.
+type Gateway struct {
+	cfg       Config
+	act       Actions
+	rng       *rand.Rand
+	now       time.Duration
+	born      time.Duration
+	slot      time.Duration // length of a slot of own history
+	customers map[uint64]*customer
+	requests  map[uint32]*request
+	backends  map[uint32]*backend
+	fleet     []*backend // the ready ones in order of arrival, for results that do not hang on map order
+	classes   []classSeen
+	advice    time.Duration   // given with a refusal
+	bank      float64         // further attempts that may be made
+	zones     map[int]float64 // share of failures by zone: a lost zone shows sooner than each of its backends
+	nextSweep time.Duration
+	nextStep  time.Duration
+	inflight  int           // place of "inflight" in a load report, or -1
+	probes    float64       // probes earned
+	turn      int           // place in the fleet of the last backend probed
+	held      float64       // mean of what reports show
+	longest   time.Duration // the longest aim
+	out       int           // attempts out
+	opened    float64       // part of the window of attempts out that is open
+	clear     float64       // share of requests that no pressure refused
+	meter     meterClock
+	ratioSum  float64 // latencies over aims since the last step
+	ratioN    float64
+	ratio     float64 // their mean over calmAims, smoothed
+}
+
+// meterClock tells when the shown period changes, and how long before that it had ended.
+type meterClock struct {
+	lo, hi   time.Duration // a change happened between these times, and at whole periods from them
+	known    bool
+	readings int
+	lag      int // slots from the end of a period to its first showing
+	misfit   [lagMost * slotsPeriod]float64
+}
+
+type classSeen struct {
+	mean float64 // mean latency of good answers, seconds
+}
+
+type customer struct {
+	plan     *Plan
+	spread   float64
+	last     time.Duration // last request
+	chance   float64       // a = 1 - b, held between updates
+	measured bool
+	reading  float64       // last reading
+	heard    time.Duration // when it came
+	period   int64         // number of the last period counted
+	mean     float64       // mean use of a period by all gateways, units (open plans: peak over the cap)
+	applied  float64       // mean chance applied in those periods
+	own      float64       // mean units passed here in those periods
+	asked    float64       // mean units asked here in those periods
+	store    float64       // units in the store at the end of the last counted period
+	storeAt  time.Duration
+	open     int     // own attempts out
+	ceiling  float64 // this gateway's part of the ceiling's store
+	ceilAt   time.Duration
+	head     int64 // number of the newest slot
+	slots    [slotsKept]slotUse
+}
+
+// slotUse is what this gateway did with a customer's requests in one slot.
+type slotUse struct {
+	offered, passed float64 // units
+	chance, met     float64 // sum of the chance held and of those that requests met; how many they are
+}
+
+type request struct {
+	Request
+	cust     *customer
+	deadline time.Duration
+	attempts []attempt
+	out      int
+	over     bool
+}
+
+type attempt struct {
+	to               *backend
+	sent             time.Duration
+	ended, cancelled bool
+	never            bool // proved never to have run
+}
+
+type backend struct {
+	Backend
+	out      int
+	others   float64       // requests held for other gateways, as last reported
+	reported time.Duration // and when
+	lat      float64       // mean latency over the class's mean
+	fails    float64       // share of failures
+	waiting  time.Duration // first send since the last answer
+	heard    time.Duration // last answer or time-out
+	until    time.Duration // ejected until
+}
+
+// New makes a gateway. Its error names the field of cfg that cannot be served.
+func New(cfg Config, seed uint64, now time.Duration, act Actions) (*Gateway, error) {
+	switch {
+	case act == nil:
+		return nil, fmt.Errorf("choice: Actions is nil")
+	case cfg.Gateways < 1:
+		return nil, fmt.Errorf("choice: Config.Gateways is %d, want at least 1", cfg.Gateways)
+	case cfg.Self < 0 || cfg.Self >= cfg.Gateways:
+		return nil, fmt.Errorf("choice: Config.Self is %d, outside the %d gateways", cfg.Self, cfg.Gateways)
+	case cfg.MaxAttempts < 1:
+		return nil, fmt.Errorf("choice: Config.MaxAttempts is %d, want at least 1", cfg.MaxAttempts)
+	case len(cfg.Classes) == 0:
+		return nil, fmt.Errorf("choice: Config.Classes is empty")
+	case len(cfg.Plans) == 0:
+		return nil, fmt.Errorf("choice: Config.Plans is empty")
+	case cfg.MeterPeriod < 0:
+		return nil, fmt.Errorf("choice: Config.MeterPeriod is negative")
+	}
+	for i, c := range cfg.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 {
+			return nil, fmt.Errorf("choice: Config.Classes[%d]: Aim and Deadline must be above 0", i)
+		}
+	}
+	for i, p := range cfg.Plans {
+		names := [...]string{"Rate", "Burst", "Open", "CeilingRate", "CeilingBurst"}
+		for j, v := range [...]float64{p.Rate, p.Burst, float64(p.Open), p.CeilingRate, p.CeilingBurst} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return nil, fmt.Errorf("choice: Config.Plans[%d].%s is %v, want 0 or more", i, names[j], v)
+			}
+		}
+	}
+	g := &Gateway{
+		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))), now: now, born: now,
+		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
+		customers: map[uint64]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
+		zones:   map[int]float64{},
+		classes: make([]classSeen, len(cfg.Classes)), bank: retryBank / 2, opened: 1, clear: 1,
+		inflight: slices.Index(cfg.ReportFields, "inflight"),
+		meter:    meterClock{lag: lagGuess * slotsPeriod},
+	}
+	for i, c := range cfg.Classes {
+		g.longest = max(g.longest, c.Aim)
+		g.classes[i] = classSeen{mean: c.Aim.Seconds() / 4}
+	}
+	if cfg.RetryAfter {
+		g.advice = cfg.MaxRetryAfter / adviceParts
+	}
+	return g, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Admission.
+
+// Request takes one try of a client and answers it, or sends it on.
+func (g *Gateway) Request(now time.Duration, in Request) {
+	g.step(now)
+	if g.requests[in.ID] != nil {
+		return
+	}
+	if in.Class < 0 || in.Class >= len(g.cfg.Classes) || in.Plan < 0 || in.Plan >= len(g.cfg.Plans) ||
+		in.TimeLeft <= 0 || !(in.Units >= 0) || math.IsInf(in.Units, 1) {
+		g.act.Refuse(in.ID, 0)
+		return
+	}
+	c := g.customer(in)
+	r := &request{Request: in, cust: c, deadline: now + in.TimeLeft}
+	if !g.admit(c, r) {
+		g.act.Refuse(r.ID, g.advice)
+		return
+	}
+	g.requests[in.ID] = r
+	if !g.send(r) {
+		delete(g.requests, in.ID)
+		g.act.Refuse(r.ID, g.advice)
+	}
+}
+
+func (g *Gateway) customer(in Request) *customer {
+	c := g.customers[in.Customer]
+	if c == nil || c.plan != &g.cfg.Plans[in.Plan] {
+		p := &g.cfg.Plans[in.Plan]
+		// The part of the ceiling begins empty when the gateway starts, since one before it may have drawn
+		// all of it; it fills from then on whether the customer is known or not.
+		ceilAt := g.born
+		if c != nil {
+			ceilAt = g.now
+		}
+		c = &customer{plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
+			ceilAt: ceilAt, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
+		if p.Rate <= 0 {
+			c.mean = startUse
+		}
+		c.head = g.slotOf(g.now)
+		for i := range c.slots {
+			c.slots[i] = slotUse{chance: g.clear, met: 1} // before it was known, only pressure refused
+		}
+		g.customers[in.Customer] = c
+	}
+	c.spread = float64(min(max(in.Spread, 1), g.cfg.Gateways))
+	c.last = g.now
+	return c
+}
+
+// admit is the ordinary path. While the store that the meter shows holds units, this gateway's even share of
+// them passes without the chance; all else meets the one chance a = 1 - b.
+func (g *Gateway) admit(c *customer, r *request) bool {
+	g.roll(c)
+	u := r.Units
+	surge := g.surge(c, r.Repeat)
+	chance := min(1, max(c.chance/surge, leastChance))
+	p, pressed := c.plan, g.pressed(r, chance)
+	g.clear *= 1 - clearAverage
+	if !pressed {
+		g.clear += clearAverage
+	}
+	if pressed || !g.ceilingHolds(c, u) {
+		chance = 0
+	} else if p.Open > 0 && float64(c.open) >= math.Ceil(float64(p.Open)/c.spread) {
+		chance = 0
+	} else if p.Rate > 0 && g.share(c, c.spread, 0) >= u {
+		chance = 1
+	} else if p.Rate > 0 && g.now-c.storeAt < time.Duration(boundPeriods*float64(g.cfg.MeterPeriod)) {
+		others := max(0, c.mean-c.own) / g.cfg.MeterPeriod.Seconds() * max(1, surge)
+		doubt := doubtShare * math.Sqrt(others*(g.now-c.storeAt).Seconds())
+		if g.share(c, 1, others) < u+doubt {
+			chance = 0
+		}
+	}
+	s := &c.slots[c.head%slotsKept]
+	s.offered += u
+	s.chance += chance
+	s.met++
+	if chance < 1 && g.rng.Float64() >= chance {
+		return false
+	}
+	s.passed += u
+	return true
+}
+
+// surge is how much more this gateway is asked than expected since the store was last shown, a witness of
+// what the late meter cannot show yet. surgeUnits keep chance from looking like one; among few gateways
+// it tells less, since traffic may have moved here from there. It covers any onset faster than the meter, and
+// harms a customer whose requests come in bursts at one of many gateways.
+func (g *Gateway) surge(c *customer, repeat bool) float64 {
+	period, scale := max(g.cfg.MeterPeriod, g.slot), 1.0
+	if c.plan.Rate <= 0 { // readings are in caps: what a customer at its cap asks for in a period
+		scale = openPart * float64(c.plan.Open) * period.Seconds() / g.classes[0].mean
+	}
+	span := min(max(g.now-c.storeAt, period), slotsKept*g.slot)
+	asked := g.window(c, g.now-span, g.now+g.slot).offered
+	expected := max(c.asked, scale*c.mean/c.applied/c.spread) * span.Seconds() / period.Seconds()
+	if repeat {
+		asked += surgeRepeat
+	}
+	return math.Pow((asked+surgeUnits)/(expected+surgeUnits), 1-1/c.spread)
+}
+
+// share is what is left of one of so many parts of the store shown, filled and drawn on since.
+func (g *Gateway) share(c *customer, parts, others float64) float64 {
+	most, fill := c.plan.Burst/parts, (c.plan.Rate/parts-others)*g.slot.Seconds()
+	level, k := c.store/parts, g.slotOf(c.storeAt)
+	if k <= c.head-slotsKept {
+		level, k = most, c.head-slotsKept+1
+	}
+	for ; k < c.head; k++ {
+		level = min(level-c.slots[k%slotsKept].passed+fill, most)
+	}
+	return level - c.slots[k%slotsKept].passed
+}
+
+// slotOf numbers the slots of own history; all that is asked for are above 0.
+func (g *Gateway) slotOf(t time.Duration) int64 { return int64((t - g.born + 1<<20*g.slot) / g.slot) }
+
+// roll opens the slots up to now.
+func (g *Gateway) roll(c *customer) {
+	n := g.slotOf(g.now)
+	if n-c.head > slotsKept {
+		c.head = n - slotsKept
+	}
+	for c.head < n {
+		c.head++
+		c.slots[c.head%slotsKept] = slotUse{chance: g.clear * min(1, c.chance), met: 1}
+	}
+}
+
+// window adds up own history between two times, by whole slots.
+func (g *Gateway) window(c *customer, from, to time.Duration) (sum slotUse) {
+	lo := min(max(g.slotOf(from), c.head-slotsKept+1), c.head)
+	n := 0.0
+	for k := lo; k < min(g.slotOf(to), c.head+1); k++ {
+		s := &c.slots[k%slotsKept]
+		sum.offered += s.offered
+		sum.passed += s.passed
+		sum.chance += s.chance / s.met
+		n++
+	}
+	if n > 0 {
+		sum.chance /= n
+	} else {
+		s := &c.slots[lo%slotsKept]
+		sum.chance = s.chance / s.met
+	}
+	return
+}
+
+// change narrows down when the shown period changes, from two answers with different readings.
+func (m *meterClock) change(from, to, period time.Duration) {
+	if !m.known {
+		m.known, m.lo, m.hi = true, from, to
+		return
+	}
+	shift := ((from+to)/2 - (m.lo+m.hi)/2 + period/2)
+	shift -= ((shift % period) + period) % period
+	lo, hi := max(m.lo+shift, from), min(m.hi+shift, to)
+	if lo >= hi {
+		lo, hi = from, to
+	}
+	m.lo, m.hi = lo, hi
+}
+
+// fit learns the lag: the right one makes own use fit best into the readings.
+func (g *Gateway) fit(c *customer, use float64, shown time.Duration) {
+	m := &g.meter
+	m.readings++
+	w := 1 / float64(min(m.readings, lagReadings))
+	top, best := g.slotOf(shown), 0
+	for j := range m.misfit {
+		own := 0.0
+		for k := max(top-int64(j)-slotsPeriod, c.head-slotsKept+1); k < min(top-int64(j), c.head+1); k++ {
+			own += c.slots[k%slotsKept].passed
+		}
+		m.misfit[j] += w * ((use-own)*(use-own)/(use+1) - m.misfit[j])
+		if m.misfit[j] < m.misfit[best] {
+			best = j
+		}
+	}
+	if m.readings > lagReadings/4 {
+		m.lag = best
+	}
+}
+
+// metered takes a reading that came with an answer. Answers repeat a period's reading; the clock of the meter
+// tells which period it is, and each counts once.
+func (g *Gateway) metered(c *customer, used float64) {
+	period := g.cfg.MeterPeriod
+	if period <= 0 || !(used >= 0) || math.IsInf(used, 1) {
+		return
+	}
+	if c.measured && used != c.reading && g.now-c.heard < period {
+		g.meter.change(c.heard, g.now, period)
+	}
+	shown := g.now
+	if g.meter.known {
+		shown = (g.meter.lo + g.meter.hi) / 2
+	}
+	number := int64(math.Floor(float64(g.now-shown) / float64(period)))
+	shown += time.Duration(number) * period
+	number = int64(math.Round(float64(shown) / float64(period)))
+	c.reading, c.heard = used, g.now
+	if c.measured && number <= c.period {
+		return
+	}
+	g.roll(c)
+	p := c.plan
+	quota, tau := 1.0, smoothOpen
+	if p.Rate > 0 {
+		quota = p.Rate * period.Seconds()
+		tau = max(smoothLeast, smoothUnits/quota)
+	}
+	use := used * quota
+	if p.Rate > 0 && g.meter.known && c.measured {
+		g.fit(c, use, shown)
+	}
+	end := shown - time.Duration(g.meter.lag)*g.slot
+	gap, w := int64(1), 1.0
+	if p.Rate > 0 {
+		w = quota / (quota + startUnits)
+	}
+	if c.measured {
+		gap = min(number-c.period, slotsKept/slotsPeriod)
+		w = 1 - math.Exp(-float64(gap)/tau)
+	}
+	for k := gap - 1; k > 0; k-- { // periods whose readings were never heard
+		own := g.window(c, end-time.Duration(k+1)*period, end-time.Duration(k)*period).passed
+		c.fill(quota - max(own, c.mean))
+	}
+	c.fill(quota - use)
+	c.storeAt = end
+	sum := g.window(c, end-period, end)
+	c.mean += w * (use - c.mean)
+	c.own += w * (sum.passed - c.own)
+	c.asked += w * (sum.offered - c.asked)
+	c.applied += w * (max(sum.chance, leastChance) - c.applied)
+	c.chance = c.applied * quota / max(c.mean, calmUse*quota)
+	c.measured, c.period = true, number
+}
+
+// fill moves the store by a period's gain, never below nothing nor above the burst.
+func (c *customer) fill(units float64) { c.store = min(max(c.store+units, 0), c.plan.Burst) }
+
+// sweep forgets idle customers, which would be met as new: a ceiling's part must be full again.
+func (g *Gateway) sweep() {
+	if g.now < g.nextSweep {
+		return
+	}
+	period := max(g.cfg.MeterPeriod, 100*time.Millisecond)
+	g.nextSweep = g.now + time.Duration(sweepEvery*float64(period))
+	for id, c := range g.customers {
+		idle := g.now - c.last
+		full := idle.Seconds()*c.plan.CeilingRate >= c.plan.CeilingBurst
+		if full && c.open == 0 && idle > time.Duration(idlePeriods*float64(period)) {
+			delete(g.customers, id)
+		}
+	}
+}
+
+// Ceiling.
+
+// ceilingHolds tells whether this gateway's even part of the ceiling's store holds the units. Parts add up to
+// no more than the whole, so no agreement is needed; a gateway that starts afresh starts from nothing.
+func (g *Gateway) ceilingHolds(c *customer, u float64) bool {
+	p := c.plan
+	if p.CeilingRate <= 0 {
+		return true
+	}
+	fill := (g.now - c.ceilAt).Seconds() * p.CeilingRate / c.spread
+	c.ceiling = min(c.ceiling+fill, p.CeilingBurst/c.spread)
+	c.ceilAt = g.now
+	return c.ceiling >= u
+}
+
+// Pressure. When the fleet itself is full, requests miss their aim together; a window of attempts out keeps
+// the rest inside it, its last part for the work of most worth. It guards against any loss of capacity,
+// whatever the cause, and could harm where latencies rise for a reason other than load.
+
+func (g *Gateway) pressed(r *request, chance float64) bool {
+	top := 0.0
+	for i := range g.cfg.Classes {
+		top = max(top, g.worth(i))
+	}
+	part := 1 - windowSpare*(1-g.worth(r.Class)/top)
+	return float64(g.out) >= math.Floor(g.room()*part*(1-windowSpare*(1-chance))+g.rng.Float64())
+}
+
+// room is the window: this gateway's part of what the fleet works well with and what chance arrivals may add,
+// as far as it is open. Below one attempt it is met by chance, so that the sum over many gateways keeps.
+func (g *Gateway) room() float64 {
+	part := windowWidest * float64(len(g.fleet)) / float64(g.cfg.Gateways)
+	return g.opened * (part + windowSlack*math.Sqrt(part))
+}
+
+func (g *Gateway) worth(class int) float64 { return g.cfg.Classes[class].Worth / g.classes[class].mean }
+
+// step does what time brings: the sweep, and the window's next step.
+func (g *Gateway) step(now time.Duration) {
+	g.now = now
+	g.sweep()
+	if now < g.nextStep {
+		return
+	}
+	g.nextStep = now + seconds(1/pressSteps)
+	if g.ratioN > 0 || g.out == 0 {
+		n := max(g.ratioN, 1)
+		g.ratio += min(pressLatest, pressAnswer*n) * (g.ratioSum/n - g.ratio)
+	}
+	change := min(windowGrow, max(-windowCut, windowCut*(1-g.ratio)))
+	g.opened = min(1, max(windowLeast, g.opened*(1+change)))
+	g.ratioSum, g.ratioN = 0, 0
+}
+
+// Backend choice.
+
+// pick returns a backend for a further attempt of r, or nil: the best of a few taken by chance. Own attempts
+// out tell less of a backend's work the more gateways there are, which would all pick the same best one. It
+// guards against herding of any cause, on a report, a size or a zone. Among few gateways it wastes knowledge.
+func (g *Gateway) pick(r *request) *backend {
+	var best *backend
+	cost := math.Inf(1)
+	try := func(b *backend, healthy bool) {
+		unhealthy := g.now < b.until || g.silent(b) ||
+			slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == b })
+		if g.allowed(r, b) && g.coldRoom(b) && !(healthy && unhealthy) {
+			if c := g.cost(r, b); c < cost {
+				best, cost = b, c
+			}
+		}
+	}
+	n := len(g.fleet)
+	if few := max(pickLeast, pickFleets*n/g.cfg.Gateways); few < n {
+		for range few {
+			try(g.fleet[g.rng.IntN(n)], true)
+		}
+	}
+	for healthy := true; best == nil; healthy = false {
+		for _, b := range g.fleet {
+			try(b, healthy)
+		}
+		if !healthy {
+			break
+		}
+	}
+	return best
+}
+
+// cost weighs a backend by work held for its size, latency, distance, failures and a little chance.
+func (g *Gateway) cost(r *request, b *backend) float64 {
+	size := 1.0
+	if g.cfg.WeightsTrusted && b.Weight > 0 {
+		size = b.Weight
+	}
+	others := b.others
+	if (g.now - b.reported).Seconds() > probeAims*g.longest.Seconds() {
+		others = g.held
+	}
+	c := (costOut*float64(b.out) + costOthers*others + 1) / (size * g.warmth(b)) * max(b.lat, costLeast)
+	if b.Zone != g.cfg.Zone {
+		c *= 1 + costZone*g.cfg.CrossZoneCost
+	}
+	c *= 1 + costFails*(b.fails+g.zones[b.Zone])
+	return c * (1 + costChance*g.rng.Float64())
+}
+
+// allowed tells whether the rule of effects lets r go to b now.
+func (g *Gateway) allowed(r *request, b *backend) bool {
+	a := r.first()
+	if a == nil {
+		return true
+	}
+	cl := &g.cfg.Classes[r.Class]
+	switch cl.Effect {
+	case SingleShot:
+		return false
+	case Guarded:
+		return g.now-a.sent < cl.Window && (cl.Group == GroupAll ||
+			cl.Group == GroupZone && b.Zone == a.to.Zone ||
+			cl.Group == GroupCell && b.Cell == a.to.Cell)
+	}
+	return true
+}
+
+// Health and cold start.
+
+// silent tells of a backend that takes attempts and answers none.
+func (g *Gateway) silent(b *backend) bool {
+	return b.out > 0 && (g.now-b.waiting).Seconds() > silentAims*g.longest.Seconds()
+}
+
+// warmth is the least part of its capacity that a backend can have now.
+func (g *Gateway) warmth(b *backend) float64 {
+	age := g.now - b.Started
+	if !b.Dated || g.cfg.ColdFor <= 0 || age >= g.cfg.ColdFor {
+		return 1
+	}
+	from := max(g.cfg.ColdFrom, 0.02)
+	return from + (1-from)*max(0, age.Seconds())/g.cfg.ColdFor.Seconds()
+}
+
+// coldRoom keeps the work out at a cold backend in step with what a warm one holds.
+func (g *Gateway) coldRoom(b *backend) bool {
+	w := g.warmth(b)
+	if w >= 1 || b.out == 0 {
+		return true
+	}
+	sum, n := 0.0, 0.0
+	for _, o := range g.fleet {
+		if o != b && g.warmth(o) >= 1 {
+			sum += float64(o.out)
+			n++
+		}
+	}
+	return n > 0 && float64(b.out+1) <= w*sum/n
+}
+
+// judge ejects a backend that fails far more than the fleet does.
+func (g *Gateway) judge(b *backend, failed bool, weight float64) {
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	b.fails += max(failAverage, weight) * (v - b.fails)
+	g.zones[b.Zone] += failAverage * (v - g.zones[b.Zone])
+	if !failed {
+		return
+	}
+	ejected := 1.0
+	for _, o := range g.fleet {
+		if g.now < o.until {
+			ejected++
+		}
+	}
+	if g.now >= b.until && b.fails > ejectOver && ejected <= ejectMost*float64(len(g.fleet)) {
+		span := ejectAims * g.longest.Seconds()
+		b.until = g.now + seconds(span*(0.8+0.4*g.rng.Float64()))
+		b.fails = 0
+	}
+}
+
+// Members takes a list of backends from discovery.
+func (g *Gateway) Members(now time.Duration, kind ListKind, list []Backend) {
+	g.step(now)
+	if kind == Failed {
+		return
+	}
+	named := map[uint32]bool{}
+	for _, m := range list {
+		named[m.ID] = true
+		b := g.backends[m.ID]
+		if b == nil {
+			b = &backend{lat: 1}
+			g.backends[m.ID] = b
+		}
+		if b.Dated != m.Dated || b.Started != m.Started {
+			b.until, b.fails, b.lat = 0, 0, 1
+		}
+		if b.Backend = m; m.State == Ready && !slices.Contains(g.fleet, b) {
+			g.fleet = append(g.fleet, b)
+		}
+	}
+	maps.DeleteFunc(g.backends, func(id uint32, b *backend) bool {
+		if kind != Delta && !named[id] {
+			b.State = Removed
+		}
+		return b.State == Removed && b.out == 0
+	})
+	g.fleet = slices.DeleteFunc(g.fleet, func(b *backend) bool { return b.State != Ready })
+}
+
+// Probed takes the answer to a probe.
+func (g *Gateway) Probed(now time.Duration, p Probe) {
+	g.step(now)
+	b := g.backends[p.Backend]
+	if b != nil && p.Status == OK && g.inflight >= 0 && g.inflight < p.Load.N {
+		b.others, b.reported = max(0, p.Load.Values[g.inflight]-float64(b.out)), now
+		g.held += latLeast * (b.others - g.held)
+	}
+}
+
+// Attempts.
+
+// send starts the next attempt of r, if one is allowed and worth it.
+func (g *Gateway) send(r *request) bool {
+	left := r.deadline - g.now
+	if len(r.attempts) >= g.cfg.MaxAttempts || left <= 0 || r.out > 0 && !g.cfg.SecondCopies {
+		return false
+	}
+	b := g.pick(r)
+	if b == nil {
+		return false
+	}
+	if len(r.attempts) == 0 {
+		r.cust.ceiling -= r.Units
+		g.bank = min(g.bank+retryShare, retryBank)
+		g.probe()
+	}
+	if b.out == 0 {
+		b.waiting = g.now
+	}
+	b.out++
+	g.out++
+	r.out++
+	r.cust.open++
+	r.attempts = append(r.attempts, attempt{to: b, sent: g.now})
+	g.act.Send(r.ID, b.ID, left)
+	if g.cfg.Classes[r.Class].Effect != SingleShot && (g.cfg.SecondCopies || g.cfg.Cancelling) {
+		wait := hedgeAims * g.cfg.Classes[r.Class].Aim.Seconds()
+		g.act.After(seconds(wait), uint64(r.ID)<<8|uint64(len(r.attempts)&0xff))
+	}
+	return true
+}
+
+// Timer takes a timer that is due: the wait for an attempt.
+func (g *Gateway) Timer(now time.Duration, token uint64) {
+	g.step(now)
+	r := g.requests[uint32(token>>8)]
+	if r == nil || r.over || len(r.attempts) != int(token&0xff) || r.attempts[len(r.attempts)-1].ended {
+		return
+	}
+	last := &r.attempts[len(r.attempts)-1]
+	g.ratioSum += min(pressMost, (now-last.sent).Seconds()/g.cfg.Classes[r.Class].Aim.Seconds()/calmAims)
+	g.ratioN++
+	if g.bank < 1 || float64(g.out) > g.room()*(1-windowSpare) && !g.silent(last.to) {
+		return
+	}
+	if g.cfg.SecondCopies {
+		if g.send(r) {
+			g.bank--
+		}
+	} else if g.silent(last.to) {
+		g.act.Cancel(r.ID, len(r.attempts)-1)
+	}
+}
+
+// probe asks the ready backends in turn for the requests they hold, in step with the requests sent.
+func (g *Gateway) probe() {
+	if !g.cfg.Probing || g.inflight < 0 {
+		return
+	}
+	for g.probes += probeShare; g.probes >= 1; g.probes-- {
+		g.turn = (g.turn + 1) % len(g.fleet)
+		g.act.Probe(g.fleet[g.turn].ID)
+	}
+}
+
+// Answers.
+
+// Outcome takes the end of an attempt, and answers the request or tries again.
+func (g *Gateway) Outcome(now time.Duration, o Outcome) {
+	g.step(now)
+	r := g.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].ended {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.ended = true
+	a.never = o.Status == Refused || o.Status == ConnectFailed || o.Status == Moot
+	a.to.out--
+	g.out--
+	r.out--
+	r.cust.open--
+	if o.Metered {
+		g.metered(r.cust, o.Used)
+	}
+	g.learn(r, a, o)
+	r.over = r.over || o.Over
+	if r.over {
+		g.cancelRest(r)
+	} else if r.out == 0 {
+		g.again(r, o.Status)
+	}
+	if r.over && r.out == 0 {
+		delete(g.requests, r.ID)
+	}
+}
+
+// learn takes what an outcome says of the backend and of the fleet.
+func (g *Gateway) learn(r *request, a *attempt, o Outcome) {
+	cl := &g.classes[r.Class]
+	aim := g.cfg.Classes[r.Class].Aim.Seconds()
+	lat := o.Elapsed.Seconds()
+	w := max(latLeast, 1-math.Exp(-(g.now-a.to.heard).Seconds()/latAims/g.longest.Seconds()))
+	if o.Status == OK || o.Status == Timeout {
+		if a.to.lat < slowBackend {
+			g.ratioSum += min(pressMost, lat/aim/calmAims)
+			g.ratioN++
+		}
+		unheard := 1.0
+		if o.Status == Timeout {
+			unheard = latUnheard
+		}
+		a.to.lat += min(1, w*unheard) * (min(lat/max(cl.mean, 1e-6), latMost) - a.to.lat)
+	}
+	switch o.Status {
+	case OK:
+		if a.to.lat < slowBackend {
+			cl.mean += latLeast / 2 * (lat - cl.mean)
+		}
+	case Refused:
+		g.ratioSum += pressMost
+		g.ratioN++
+	}
+	if o.Status == OK || o.Status == Refused || o.Status == Error {
+		a.to.waiting = g.now
+	}
+	if o.Status != Refused && o.Status != Cancelled && o.Status != Moot {
+		a.to.heard = g.now
+		g.judge(a.to, o.Status != OK, w)
+	}
+}
+
+// first is the first attempt that may have run, or is out.
+func (r *request) first() *attempt {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; !a.never {
+			return a
+		}
+	}
+	return nil
+}
+
+// again makes a further attempt or gives the final answer.
+func (g *Gateway) again(r *request, last Status) {
+	price := 1.0
+	if last == ConnectFailed {
+		price = 0 // it cost no backend any work, so it cannot feed an overload
+	}
+	if last != Moot && g.bank >= price && g.send(r) {
+		g.bank -= price
+		return
+	}
+	r.over = true
+	cl := &g.cfg.Classes[r.Class]
+	harmless := r.first() == nil || cl.Effect == Free || cl.Effect == Guarded && cl.Group == GroupAll
+	if harmless && g.now < r.deadline {
+		g.act.Refuse(r.ID, g.advice)
+	} else {
+		g.act.Fail(r.ID)
+	}
+}
+
+// Gone ends a request whose client has left.
+func (g *Gateway) Gone(now time.Duration, id uint32) {
+	g.step(now)
+	r := g.requests[id]
+	if r == nil {
+		return
+	}
+	r.over = true
+	if r.out == 0 {
+		delete(g.requests, id)
+	}
+	g.cancelRest(r)
+}
+
+// cancelRest stops what is still out for a request that is over.
+func (g *Gateway) cancelRest(r *request) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; g.cfg.Cancelling && !a.ended && !a.cancelled {
+			a.cancelled = true
+			g.act.Cancel(r.ID, i)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,139 @@
+// Command drill is the adapter between the decision module and the
+// simulator's wire. It reads batches of events on standard input, hands each
+// to the instance it names and writes one reply a batch on standard output.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"curlewsail/choice"
+	"curlewsail/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+// An instance is one gateway and the Actions that write into the reply.
+type instance struct {
+	*choice.Gateway
+	num   uint32
+	ask   bool
+	reply *wire.Reply
+}
+
+func (n *instance) Send(id, backend uint32, timeout time.Duration) {
+	n.reply.Send(n.num, id, backend, timeout)
+}
+func (n *instance) Refuse(id uint32, after time.Duration)  { n.reply.Refuse(n.num, id, after) }
+func (n *instance) Fail(id uint32)                         { n.reply.Fail(n.num, id) }
+func (n *instance) Cancel(id uint32, attempt int)          { n.reply.Cancel(n.num, id, attempt) }
+func (n *instance) Probe(backend uint32)                   { n.reply.Probe(n.num, backend) }
+func (n *instance) After(wait time.Duration, token uint64) { n.reply.After(n.num, wait, token) }
+
+// run serves batches until the end of input.
+func run(in io.Reader, out io.Writer) error {
+	var (
+		batch     wire.Batch
+		reply     wire.Reply
+		event     wire.Event
+		lists     [16][]choice.Backend
+		instances = map[uint32]*instance{}
+		r         = bufio.NewReaderSize(in, 1<<16)
+		w         = bufio.NewWriterSize(out, 1<<16)
+	)
+	for {
+		if err := batch.ReadBatch(r); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		reply.Reset()
+		for i := range batch.Count {
+			if err := batch.At(i, &event); err != nil {
+				return err
+			}
+			switch event.Code {
+			case wire.CodeList:
+				lists[event.List] = append(lists[event.List][:0], event.Backends...)
+				continue
+			case wire.CodeInit:
+				n, err := start(&batch, &event, &reply)
+				if err != nil {
+					return fmt.Errorf("batch %d, record %d: instance %d: %w", batch.Seq, i, event.Inst, err)
+				}
+				instances[event.Inst] = n
+				continue
+			}
+			n, ok := instances[event.Inst]
+			if !ok {
+				return fmt.Errorf("batch %d, record %d: instance %d is unknown", batch.Seq, i, event.Inst)
+			}
+			if event.Code == wire.CodeStop {
+				delete(instances, event.Inst)
+				continue
+			}
+			if event.Code == wire.CodeMembers && event.Kind != choice.Failed && event.List > 15 {
+				return fmt.Errorf("batch %d, record %d: list number %d is above 15", batch.Seq, i, event.List)
+			}
+			deliver(n, batch.Now, &event, &lists)
+		}
+		if err := reply.Write(w, batch.Seq); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("reply to batch %d: %w", batch.Seq, err)
+		}
+	}
+}
+
+func start(b *wire.Batch, e *wire.Event, reply *wire.Reply) (*instance, error) {
+	cfg, ask, err := wire.ParseConfig(e.Config)
+	if err != nil {
+		return nil, err
+	}
+	n := &instance{num: e.Inst, ask: ask, reply: reply}
+	if n.Gateway, err = choice.New(cfg, e.Seed, b.Now, n); err != nil {
+		return nil, err
+	}
+	if ask {
+		reply.Subscribe(n.num)
+	}
+	return n, nil
+}
+
+// deliver hands one event to its instance; a panic there becomes its fault.
+func deliver(n *instance, now time.Duration, e *wire.Event, lists *[16][]choice.Backend) {
+	defer func() {
+		if p := recover(); p != nil {
+			n.reply.Fault(n.num, fmt.Sprint(p))
+		}
+	}()
+	switch e.Code {
+	case wire.CodeMembers:
+		var list []choice.Backend
+		if e.Kind != choice.Failed {
+			list = lists[e.List]
+		} else if n.ask {
+			n.reply.Subscribe(n.num)
+		}
+		n.Members(now, e.Kind, list)
+	case wire.CodeRequest:
+		n.Request(now, e.Request)
+	case wire.CodeOutcome:
+		n.Outcome(now, e.Outcome)
+	case wire.CodeProbed:
+		n.Probed(now, e.Probe)
+	case wire.CodeGone:
+		n.Gone(now, e.ID)
+	case wire.CodeTimer:
+		n.Timer(now, e.Token)
+	}
+}
