--- /dev/null
+++ b/internal/ingress/backend.go
@@ -0,0 +1,378 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"curlewsail/choice"
+)
+
+const (
+	readBuffer = 4 << 10
+	idleShare  = 0.6 // of the time after which a backend closes an idle connection
+)
+
+// longAgo is a deadline that wakes whatever waits on a connection.
+var longAgo = time.Unix(1, 0)
+
+// pool holds the backends and the idle connections to them. Only the loop
+// calls its methods, but for those of attempts and connections.
+type pool struct {
+	cfg    *Config
+	post   func(event)
+	dialer net.Dialer
+	byName map[string]*backend
+	byID   map[uint32]*backend
+	lastID uint32
+	open   atomic.Int64 // connections, those being dialled among them
+}
+
+type backend struct {
+	id      uint32
+	addr    string
+	idle    []*conn     // the most recently used last
+	stopped atomic.Bool // told to be draining or gone
+}
+
+func newPool(cfg *Config, post func(event)) *pool {
+	return &pool{
+		cfg: cfg, post: post, dialer: net.Dialer{Timeout: cfg.connectTimeout},
+		byName: map[string]*backend{}, byID: map[uint32]*backend{},
+	}
+}
+
+// member takes what discovery says of one backend and returns the gateway's id for it.
+func (p *pool) member(m member, state choice.State) uint32 {
+	b := p.byName[m.ID]
+	if b == nil {
+		p.lastID++
+		b = &backend{id: p.lastID, addr: m.HostPort}
+		p.byName[m.ID], p.byID[b.id] = b, b
+	}
+	if b.addr != m.HostPort && m.HostPort != "" {
+		b.retire()
+		// Attempts under way read the address: it moves to a new record.
+		moved := &backend{id: b.id, addr: m.HostPort}
+		b.stopped.Store(true)
+		p.byName[m.ID], p.byID[b.id] = moved, moved
+		b = moved
+	}
+	b.stopped.Store(state != choice.Ready)
+	if state != choice.Ready {
+		b.retire()
+	}
+	if state == choice.Removed {
+		delete(p.byName, m.ID)
+		delete(p.byID, b.id)
+	}
+	return b.id
+}
+
+// keep drops all backends that a complete list does not name.
+func (p *pool) keep(named map[string]bool) {
+	for name, b := range p.byName {
+		if !named[name] {
+			b.stopped.Store(true)
+			b.retire()
+			delete(p.byName, name)
+			delete(p.byID, b.id)
+		}
+	}
+}
+
+// serving tells whether there is a backend to send to.
+func (p *pool) serving() bool {
+	for _, b := range p.byID {
+		if !b.stopped.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// retire closes the idle connections.
+func (b *backend) retire() {
+	for _, c := range b.idle {
+		c.retire()
+	}
+	b.idle = nil
+}
+
+// start sets an attempt going, on an idle connection if there is one. Its end
+// comes as an event.
+func (p *pool) start(a *attempt, id uint32) {
+	a.pool, a.started, a.wrote = p, time.Now(), make(chan struct{})
+	a.to = p.byID[id]
+	if a.to == nil { // taken off the list since: nothing is sent
+		a.to = &backend{id: id}
+		a.to.stopped.Store(true)
+	}
+	var c *conn
+	if n := len(a.to.idle); n > 0 {
+		c = a.to.idle[n-1]
+		a.to.idle = a.to.idle[:n-1]
+	} else if p.open.Load() >= int64(p.cfg.Limits.backends()) {
+		p.evict()
+	}
+	go a.run(c)
+}
+
+// evict closes one idle connection to make room for another backend's.
+func (p *pool) evict() {
+	for _, b := range p.byID {
+		if len(b.idle) > 0 {
+			b.idle[0].retire()
+			b.idle = b.idle[1:]
+			return
+		}
+	}
+}
+
+// put takes back a connection that has carried its answer.
+func (p *pool) put(c *conn) {
+	if p.byID[c.to.id] != c.to || c.to.stopped.Load() {
+		c.retire()
+		return
+	}
+	c.to.idle = append(c.to.idle, c)
+}
+
+// drop forgets an idle connection that has closed.
+func (p *pool) drop(c *conn) {
+	if i := slices.Index(c.to.idle, c); i >= 0 {
+		c.to.idle = slices.Delete(c.to.idle, i, i+1)
+	}
+}
+
+// attempt is one attempt of a request, or a probe where request is nil.
+type attempt struct {
+	pool     *pool
+	request  *request
+	number   int
+	to       *backend
+	started  time.Time
+	deadline time.Time
+	wrote    chan struct{} // closed when the write is over
+	whole    bool          // the last byte is written; valid once wrote is closed
+
+	mu      sync.Mutex
+	aborted bool
+	cancel  context.CancelFunc // ends its dial
+	conn    *conn              // on which it is out
+}
+
+// abort stops the wait. It does not block and does not end the attempt: the
+// goroutine of the connection closes that first and then tells the outcome, so
+// that no second attempt overlaps this one.
+func (a *attempt) abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aborted = true
+	if a.cancel != nil {
+		a.cancel()
+	}
+	if a.conn != nil {
+		a.conn.nc.SetDeadline(longAgo)
+	}
+}
+
+// run carries the attempt out on c, or on a new connection.
+func (a *attempt) run(c *conn) {
+	if c != nil && c.send(a) {
+		return // the reader of c ends it
+	}
+	nc, err := a.dial()
+	if err != nil {
+		a.end(reply{status: choice.ConnectFailed}, nil)
+		return
+	}
+	c = &conn{nc: nc, to: a.to, pool: a.pool}
+	c.send(a)
+	c.read()
+}
+
+var errNoRoom = errors.New("no descriptor is left, or the backend wants nothing new")
+
+func (a *attempt) dial() (net.Conn, error) {
+	if a.to.stopped.Load() {
+		return nil, errNoRoom
+	}
+	if a.pool.open.Add(1) > int64(a.pool.cfg.Limits.backends()) {
+		a.pool.open.Add(-1)
+		return nil, errNoRoom
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	defer cancel()
+	a.mu.Lock()
+	a.cancel = cancel
+	if a.aborted {
+		cancel()
+	}
+	a.mu.Unlock()
+	nc, err := a.pool.dialer.DialContext(ctx, "tcp", a.to.addr)
+	if err != nil {
+		a.pool.open.Add(-1)
+	}
+	return nc, err
+}
+
+// end tells the loop the outcome. c is nil unless it can be used again.
+func (a *attempt) end(r reply, c *conn) {
+	elapsed := time.Since(a.started)
+	a.pool.post(func(l *loop) { l.ended(a, r, elapsed, c) })
+}
+
+func (a *attempt) message() []byte {
+	if a.request == nil {
+		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+	}
+	return a.request.appendTo(make([]byte, 0, a.request.size+64), time.Until(a.deadline))
+}
+
+// conn is a connection to a backend. It carries one attempt at a time: answers
+// come in order, and giving one up closes the connection.
+type conn struct {
+	nc   net.Conn
+	to   *backend
+	pool *pool
+
+	mu      sync.Mutex
+	current *attempt
+	dead    bool
+}
+
+// retire closes an idle connection, by way of its reader.
+func (c *conn) retire() { c.nc.SetReadDeadline(longAgo) }
+
+// send writes the attempt. It returns false if the connection had closed
+// before the first byte; else the reader ends the attempt.
+func (c *conn) send(a *attempt) bool {
+	c.mu.Lock()
+	if c.dead {
+		c.mu.Unlock()
+		return false
+	}
+	c.current = a
+	c.mu.Unlock()
+	defer close(a.wrote)
+	a.mu.Lock()
+	// The last look before the first byte: a backend that was told to drain
+	// while the attempt waited for its connection must get nothing new.
+	if a.aborted || a.to.stopped.Load() {
+		a.mu.Unlock()
+		c.retire()
+		return true
+	}
+	a.conn = c
+	c.nc.SetDeadline(a.deadline)
+	a.mu.Unlock()
+	message := a.message()
+	n, _ := c.nc.Write(message)
+	a.whole = n == len(message)
+	if !a.whole {
+		c.retire()
+	}
+	return true
+}
+
+// read takes the answers until the connection ends, and ends each attempt. It
+// also notices when an idle connection closes or has been idle for too long.
+func (c *conn) read() {
+	buf := make([]byte, 0, readBuffer)
+	for {
+		n, err := c.nc.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		c.mu.Lock()
+		a := c.current
+		c.dead = a == nil // closed, idle for too long, or speaking out of turn
+		c.mu.Unlock()
+		if a == nil {
+			c.close()
+			c.pool.post(func(l *loop) { l.pool.drop(c) })
+			return
+		}
+		<-a.wrote // an answer may be here before the writer has gone on
+		if n > 0 {
+			answer, used, bad := c.pool.cfg.nextReply(buf)
+			switch {
+			case bad != nil:
+				err = bad
+			case used > 0:
+				if err == nil && a.whole && used == len(buf) && c.release(a) {
+					buf = buf[:0]
+					if cap(buf) > readBuffer {
+						buf = make([]byte, 0, readBuffer)
+					}
+					a.end(answer, c)
+					continue
+				}
+				c.close()
+				a.end(answer, nil)
+				return
+			case len(buf) == cap(buf):
+				buf = slices.Grow(buf, len(buf))
+			}
+		}
+		if err == nil {
+			continue
+		}
+		status := a.broken(err)
+		if status == choice.OK {
+			continue
+		}
+		// Closed before the outcome is told: a second attempt must not overlap.
+		c.close()
+		a.end(reply{status: status}, nil)
+		return
+	}
+}
+
+// broken tells what the end of its connection makes of an attempt. OK means
+// that it goes on: the deadline of the idle connection passed just before.
+func (a *attempt) broken(err error) choice.Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case !a.whole:
+		return choice.ConnectFailed // the last byte was not written: it never ran
+	case a.aborted:
+		return choice.Cancelled
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return choice.Reset
+	case time.Now().Before(a.deadline):
+		return choice.OK
+	}
+	return choice.Timeout
+}
+
+// release makes the connection idle again. It returns false if the attempt has
+// been aborted, which closes the connection.
+func (c *conn) release(a *attempt) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+	if a.aborted {
+		return false
+	}
+	// Well before the backend closes it: a request written to a connection
+	// that the backend has closed ends as a reset, which an unsafe request
+	// cannot repeat.
+	c.nc.SetReadDeadline(time.Now().Add(time.Duration(idleShare * float64(c.pool.cfg.connIdle))))
+	c.mu.Lock()
+	c.current = nil
+	c.mu.Unlock()
+	return true
+}
+
+func (c *conn) close() {
+	c.nc.Close()
+	c.pool.open.Add(-1)
+}
--- /dev/null
+++ b/internal/ingress/config.go
@@ -0,0 +1,171 @@
+// Package ingress runs one gateway of package choice on real sockets. It turns
+// what happens on connections into the gateway's events and carries out its
+// actions; it decides nothing itself.
+//
+// One goroutine owns the gateway (loop.go). Goroutines of connections do the
+// I/O and send it events: client.go towards clients, backend.go towards
+// backends, discovery.go towards discovery. command.go reads and writes the
+// protocol.
+package ingress
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"curlewsail/choice"
+	"curlewsail/internal/wire"
+)
+
+// Limits are what the deployment lets one ingress use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Shares of the limits. The rest of the memory is for socket buffers and the
+// runtime, the rest of the descriptors for discovery, listener and files.
+const (
+	heapShare      = 0.6
+	garbagePercent = 400 // the heap in use is small: trade memory for CPU
+	clientShare    = 0.55
+	backendShare   = 0.35
+	defaultSockets = 1024
+	defaultMemory  = 192
+)
+
+// Apply sets the Go runtime's bounds for the whole process.
+func (l Limits) Apply() {
+	runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	debug.SetMemoryLimit(int64(heapShare * float64(l.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(garbagePercent)
+}
+
+func (l Limits) clients() int  { return max(1, int(clientShare*float64(l.Sockets))) }
+func (l Limits) backends() int { return max(1, int(backendShare*float64(l.Sockets))) }
+
+// Config is all that one ingress is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     memberList
+	Choice    choice.Config
+
+	classes        map[string]int
+	plans          map[string]int
+	zones          map[string]int
+	kinds          map[string]int
+	connIdle       time.Duration // a backend closes connections idle for so long
+	connectTimeout time.Duration
+}
+
+// LoadConfig reads the file that NODE_CONFIG names. The other NODE_ variables
+// stand in for what the file leaves out.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return Config{}, fmt.Errorf("NODE_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	cfg, err := ParseConfig(data)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{
+		"NODE_NAME": &cfg.Name, "NODE_LISTEN": &cfg.Listen, "NODE_DISCOVERY": &cfg.Discovery,
+	} {
+		if *field == "" {
+			*field = getenv(name)
+		}
+	}
+	return cfg, nil
+}
+
+// ParseConfig decodes a configuration.
+func ParseConfig(data []byte) (Config, error) {
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     memberList      `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(data, &file); err != nil {
+		return Config{}, err
+	}
+	decisions, _, err := wire.ParseConfig(file.Settings)
+	if err != nil {
+		return Config{}, err
+	}
+	// What only sockets need: the names on them and the limits of connections.
+	var s struct {
+		Bounds struct {
+			ConnIdle       float64 `json:"conn_idle_ms"`
+			ConnectTimeout float64 `json:"connect_timeout_ms"`
+		} `json:"bounds"`
+		Classes []struct {
+			Name string `json:"name"`
+		} `json:"request_classes"`
+		Plans []struct {
+			Name string `json:"name"`
+		} `json:"tiers_of_service"`
+		Zones []string `json:"zones"`
+		Kinds []string `json:"kinds"`
+	}
+	if err := json.Unmarshal(file.Settings, &s); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	cfg := Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known,
+		Choice: decisions, classes: map[string]int{}, plans: map[string]int{}, zones: map[string]int{}, kinds: map[string]int{},
+		connIdle: millis(s.Bounds.ConnIdle), connectTimeout: millis(s.Bounds.ConnectTimeout),
+	}
+	if file.Seed != "" {
+		if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			return Config{}, fmt.Errorf("seed: %w", err)
+		}
+	}
+	for i, c := range s.Classes {
+		cfg.classes[c.Name] = i
+	}
+	for i, p := range s.Plans {
+		cfg.plans[p.Name] = i
+	}
+	for i, z := range s.Zones {
+		cfg.zones[z] = i
+	}
+	for i, k := range s.Kinds {
+		cfg.kinds[k] = i
+	}
+	if cfg.Limits.Sockets <= 0 {
+		cfg.Limits.Sockets = defaultSockets
+	}
+	if cfg.Limits.MemoryMB <= 0 {
+		cfg.Limits.MemoryMB = defaultMemory
+	}
+	if cfg.connIdle <= 0 {
+		cfg.connIdle = 15 * time.Second
+	}
+	if cfg.connectTimeout <= 0 {
+		cfg.connectTimeout = 250 * time.Millisecond
+	}
+	return cfg, nil
+}
+
+func millis(ms float64) time.Duration {
+	return time.Duration(math.Round(ms * float64(time.Millisecond)))
+}
--- /dev/null
+++ b/internal/ingress/discovery.go
@@ -0,0 +1,150 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	watchSilence  = 7 * time.Second // a watch sends a line every 2 s; after this it is taken for dead
+	watchRetry    = 250 * time.Millisecond
+	maxListLine   = 4 << 20
+	discoveryDial = 2 * time.Second
+)
+
+// memberList is a list of backends, or the changes to one, as discovery sends it.
+type memberList struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// The phases of a member.
+const (
+	phaseServing  = "SERVING"
+	phaseDraining = "DRAINING"
+	phaseDeleted  = "DELETED"
+)
+
+// discovery follows the list of backends and hands each part of it on, in order.
+type discovery struct {
+	base    string
+	client  *http.Client
+	silence time.Duration
+	deliver func(memberList)
+}
+
+func newDiscovery(addr string, deliver func(memberList)) *discovery {
+	return &discovery{
+		base:    "http://" + addr + "/api/targets",
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		silence: watchSilence,
+		deliver: deliver,
+	}
+}
+
+// list fetches the whole list.
+func (d *discovery) list(ctx context.Context) (l memberList, err error) {
+	ctx, cancel := context.WithTimeout(ctx, discoveryDial)
+	defer cancel()
+	resp, err := d.get(ctx, d.base)
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+		return l, fmt.Errorf("discovery: list: %w", err)
+	}
+	return l, nil
+}
+
+func (d *discovery) get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("discovery: %s answers %s", url, resp.Status)
+	}
+	return resp, nil
+}
+
+// run fetches the list and then watches it until ctx ends. started is called
+// once, after the first try at the list, whether it went well or not.
+func (d *discovery) run(ctx context.Context, started func()) {
+	var revision int64
+	for have := false; ctx.Err() == nil; {
+		if !have {
+			l, err := d.list(ctx)
+			if have = err == nil; have {
+				revision = l.Revision
+				d.deliver(l)
+			}
+			if started != nil {
+				started()
+				started = nil
+			}
+		}
+		if have {
+			// Errors need no report: each ends in a new watch from the last revision.
+			revision, _ = d.watch(ctx, revision)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+// watch follows changes after a revision until the connection ends or falls
+// silent, and returns the last revision delivered.
+func (d *discovery) watch(ctx context.Context, revision int64) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A connection that was cut off stays open and silent for ever: only the
+	// missing empty lines tell.
+	alarm := time.AfterFunc(d.silence, cancel)
+	defer alarm.Stop()
+	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.base, revision))
+	if err != nil {
+		return revision, err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxListLine)
+	for lines.Scan() {
+		alarm.Reset(d.silence)
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var l memberList
+		if err := json.Unmarshal(line, &l); err != nil {
+			return revision, fmt.Errorf("discovery: watch: %w", err)
+		}
+		revision = l.Revision
+		d.deliver(l)
+	}
+	return revision, lines.Err()
+}
