Test the ingress over loopback sockets

Covers order of pipelined answers, broken and oversized input, exact outcomes, reuse and idle time of connections, drains, discovery that breaks or falls silent, leaving clients, the memory for open requests, and the stop. The pool tells outcomes by functions given to it, so that it can be tested without a loop.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -27,7 +27,8 @@
 // calls its methods, but for those of attempts and connections.
 type pool struct {
 	cfg    *Config
-	post   func(event)
+	ended  func(a *attempt, r reply, elapsed time.Duration, c *conn) // c is nil unless it can be used again
+	closed func(*conn)                                               // an idle connection has closed
 	dialer net.Dialer
 	byName map[string]*backend
 	byID   map[uint32]*backend
@@ -42,9 +43,10 @@
 	stopped atomic.Bool // told to be draining or gone
 }
 
-func newPool(cfg *Config, post func(event)) *pool {
+// newPool makes an empty pool. The calls come from the goroutines of connections.
+func newPool(cfg *Config, ended func(*attempt, reply, time.Duration, *conn), closed func(*conn)) *pool {
 	return &pool{
-		cfg: cfg, post: post, dialer: net.Dialer{Timeout: cfg.connectTimeout},
+		cfg: cfg, ended: ended, closed: closed, dialer: net.Dialer{Timeout: cfg.connectTimeout},
 		byName: map[string]*backend{}, byID: map[uint32]*backend{},
 	}
 }
@@ -224,10 +226,9 @@
 	return nc, err
 }
 
-// end tells the loop the outcome. c is nil unless it can be used again.
+// end tells the outcome. c is nil unless it can be used again.
 func (a *attempt) end(r reply, c *conn) {
-	elapsed := time.Since(a.started)
-	a.pool.post(func(l *loop) { l.ended(a, r, elapsed, c) })
+	a.pool.ended(a, r, time.Since(a.started), c)
 }
 
 func (a *attempt) message() []byte {
@@ -296,7 +297,7 @@
 		c.mu.Unlock()
 		if a == nil {
 			c.close()
-			c.pool.post(func(l *loop) { l.pool.drop(c) })
+			c.pool.closed(c)
 			return
 		}
 		<-a.wrote // an answer may be here before the writer has gone on
--- /dev/null
+++ b/internal/ingress/backend_test.go
@@ -0,0 +1,347 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewsail/choice"
+)
+
+func TestAnswersAreUnderstood(t *testing.T) {
+	cfg, err := ParseConfig([]byte(`{"settings":` + strings.Replace(settings, "%d", "1", 1) + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	load := choice.Load{N: 2, Values: [4]float64{7, 12.5}}
+	for _, c := range []struct {
+		text string
+		want reply
+	}{
+		{"*3\r\n$1\r\nv\r\n$7\r\nused=37\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n"), metered: true, used: 0.37}},
+		{"*3\r\n$0\r\n\r\n$-1\r\n$26\r\nlatency_ms=12.5,inflight=7\r\n",
+			reply{status: choice.OK, value: []byte("$0\r\n\r\n"), load: load}},
+		{"*3\r\n$-1\r\n$6\r\nused=0\r\n$-1\r\n", reply{status: choice.Error, metered: true}},
+		{"*1\r\n*1\r\n$1\r\nv\r\n", reply{status: choice.Error}},
+		{"-ERR failed\r\n", reply{status: choice.Error}},
+		{"-ERR failed used=120 inflight=7,latency_ms=12.5\r\n", reply{status: choice.Error, metered: true, used: 1.2, load: load}},
+		{"-BUSY\r\n", reply{status: choice.Refused}},
+		{"-BUSY used=5,cost=4\r\n", reply{status: choice.Refused, metered: true, used: 0.05}},
+		{"-BUSY used=x\r\n", reply{status: choice.Refused}},
+		{"-\r\n", reply{status: choice.Error}},
+		{"+OK\r\n", reply{status: choice.Error}},
+		{":1\r\n", reply{status: choice.Error}},
+		{"$-1\r\n", reply{status: choice.Error}},
+		{"$26\r\ninflight=7,latency_ms=12.5\r\n", reply{status: choice.OK, load: load}},
+	} {
+		for cut := range c.text {
+			if _, n, err := cfg.nextReply([]byte(c.text[:cut])); n != 0 || err != nil {
+				t.Errorf("%q: %d bytes taken, %v", c.text[:cut], n, err)
+			}
+		}
+		got, n, err := cfg.nextReply([]byte(c.text))
+		if err != nil || n != len(c.text) || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%q is understood as %+v (%d bytes, %v), want %+v", c.text, got, n, err, c.want)
+		}
+	}
+	for _, text := range []string{"$9223372036854775807\r\nxx\r\n", "*1\r\n$" + strings.Repeat("x", maxMessage)} {
+		if _, _, err := cfg.nextReply([]byte(text)); err == nil {
+			t.Errorf("%.40q: no error", text)
+		}
+	}
+}
+
+// An unsafe request that may have run gets no second attempt and no refusal.
+func TestPaymentThatMayHaveRunFails(t *testing.T) {
+	one, two := newBackend(t), newBackend(t)
+	r := newRig(t, nil, one.member("1"), two.member("2"))
+	for _, end := range []func(received){
+		received.reset,
+		func(got received) { got.nc.Close() },
+		func(got received) { got.line("-ERR failed") },
+		func(got received) { got.line("$x"); got.nc.Close() },
+		func(got received) { got.nc.Write([]byte("*3\r\n$9\r\nhal")); got.nc.Close() },
+	} {
+		c := r.dial()
+		c.send("Q.DO", anyone, someID, payment, "BODY")
+		select {
+		case got := <-one.got:
+			end(got)
+		case got := <-two.got:
+			end(got)
+		}
+		c.want("-ERR failed")
+	}
+	idle(t, "a second attempt", one.got)
+	idle(t, "a second attempt", two.got)
+}
+
+// One that was turned away has not run, and goes to the other backend.
+func TestPaymentThatWasTurnedAwayGoesOn(t *testing.T) {
+	one, two := newBackend(t), newBackend(t)
+	r := newRig(t, nil, one.member("1"), two.member("2"))
+	c := r.dial()
+	c.send("Q.DO", anyone, someID, payment, "BODY")
+	var first, second received
+	select {
+	case first = <-one.got:
+		first.line("-BUSY")
+		second = wait(t, "a second attempt", two.got)
+	case first = <-two.got:
+		first.line("-BUSY")
+		second = wait(t, "a second attempt", one.got)
+	}
+	second.answer("v")
+	c.want("$1\r\nv")
+}
+
+func TestPaymentGoesOnWhenTheConnectionIsRefused(t *testing.T) {
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := down.Addr().String()
+	down.Close()
+	b := newBackend(t)
+	dead := b.member("dead")
+	dead.HostPort = addr
+	r := newRig(t, nil, b.member("b"), dead)
+	c := r.dial()
+	for range 10 { // some of them try the dead one first
+		c.send("Q.DO", anyone, someID, payment, "BODY")
+		wait(t, "the request", b.got).answer("v")
+		c.want("$1\r\nv")
+	}
+}
+
+// Answers come in order, so a second request on a busy connection would wait;
+// an idle one is used again.
+func TestConnectionsCarryOneRequestAtATimeAndAreUsedAgain(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	c := r.dial()
+	c.write(encode("Q.ASK", anyone, someID, lookup) + encode("Q.ASK", anyone, someID, lookup))
+	one, two := wait(t, "a request", b.got), wait(t, "another", b.got)
+	if one.nc == two.nc {
+		t.Error("two requests on one connection at a time")
+	}
+	one.answer("v")
+	two.answer("v")
+	c.want("$1\r\nv")
+	c.want("$1\r\nv")
+	c.send("Q.ASK", anyone, someID, lookup)
+	if three := wait(t, "a third", b.got); three.nc != one.nc && three.nc != two.nc {
+		t.Error("a new connection though two are idle")
+	} else {
+		three.answer("v")
+	}
+	c.want("$1\r\nv")
+}
+
+// A request on a connection that the backend has closed would be a reset, and
+// lost if unsafe: a closed one is noticed while idle.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	c := r.dial()
+	for range 3 {
+		c.send("Q.DO", anyone, someID, payment, "BODY")
+		got := wait(t, "the request", b.got)
+		got.answer("v")
+		c.want("$1\r\nv")
+		got.nc.Close()
+		r.eventually("the connection to be dropped", func(l *loop) bool { return l.pool.open.Load() == 0 })
+	}
+}
+
+// The ingress drops idle connections itself, well before the backend does.
+func TestIdleConnectionIsDroppedBeforeTheBackendCloses(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.connIdle, cfg.Choice.Probing = 100*time.Millisecond, false }, b.member("b"))
+	c := r.dial()
+	c.send("Q.ASK", anyone, someID, lookup)
+	got := wait(t, "the request", b.got)
+	got.answer("v")
+	c.want("$1\r\nv")
+	if nc := wait(t, "the end of the idle connection", b.closed); nc != got.nc {
+		t.Error("another connection ended")
+	}
+	c.send("Q.ASK", anyone, someID, lookup)
+	wait(t, "the next request", b.got).answer("w")
+	c.want("$1\r\nw")
+}
+
+// At the limit of descriptors an idle connection to another backend makes room.
+func TestIdleConnectionMakesRoomForAnother(t *testing.T) {
+	one, two := newBackend(t), newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets, cfg.Choice.Probing = 5, false }, one.member("1")) // one for backends
+	c := r.dial()
+	c.send("Q.ASK", anyone, someID, lookup)
+	wait(t, "the request", one.got).answer("v")
+	c.want("$1\r\nv")
+	r.ask(func(l *loop) {
+		l.pool.member(two.member("2"), choice.Ready)
+		l.pool.evict()
+	})
+	wait(t, "the end of the idle connection", one.closed)
+}
+
+// bench is one connection of a pool without a loop, its other end, and the outcomes.
+type bench struct {
+	*conn
+	far   net.Conn
+	ended chan choice.Status
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	cfg, err := ParseConfig(fmt.Appendf(nil, `{"settings":%s}`, fmt.Sprintf(settings, 3600_000)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close(); far.Close() })
+	far.SetDeadline(time.Now().Add(patience))
+	b := &bench{far: far, ended: make(chan choice.Status, 1)}
+	p := newPool(&cfg, func(_ *attempt, r reply, _ time.Duration, _ *conn) { b.ended <- r.status }, func(*conn) {})
+	b.conn = &conn{nc: nc, to: &backend{id: 1, addr: ln.Addr().String()}, pool: p}
+	return b
+}
+
+// attempt makes an attempt of a payment for the connection's backend.
+func (b *bench) attempt(t *testing.T) *attempt {
+	t.Helper()
+	cmd, err := b.pool.cfg.parseCommand([][]byte{
+		[]byte("Q.DO"), []byte(anyone), []byte(someID), []byte(payment), []byte("BODY")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &attempt{pool: b.pool, request: &request{command: cmd}, to: b.to, started: time.Now(),
+		deadline: time.Now().Add(patience), wrote: make(chan struct{})}
+}
+
+// wantNothing tells that the other end saw the connection end without a byte.
+func (b *bench) wantNothing(t *testing.T) {
+	t.Helper()
+	if got, err := io.ReadAll(b.far); err != nil || len(got) > 0 {
+		t.Errorf("the backend got %q, %v; want nothing", got, err)
+	}
+}
+
+func (b *bench) want(t *testing.T, status choice.Status) {
+	t.Helper()
+	if got := wait(t, "the outcome", b.ended); got != status {
+		t.Errorf("outcome %d, want %d", got, status)
+	}
+}
+
+// A backend that is told to drain while an attempt waits for its connection
+// gets nothing of it, and the attempt counts as never run.
+func TestNothingNewGoesToADrainingBackend(t *testing.T) {
+	b := newBench(t)
+	b.to.stopped.Store(true)
+	a := b.attempt(t)
+	b.send(a)
+	go b.read()
+	b.want(t, choice.ConnectFailed)
+	b.wantNothing(t)
+
+	a = b.attempt(t) // and no new connection either
+	a.run(nil)
+	b.want(t, choice.ConnectFailed)
+}
+
+func TestAttemptCalledOffBeforeItsFirstByteNeverRan(t *testing.T) {
+	b := newBench(t)
+	a := b.attempt(t)
+	a.abort()
+	b.send(a)
+	go b.read()
+	b.want(t, choice.ConnectFailed)
+	b.wantNothing(t)
+
+	a = b.attempt(t)
+	a.abort()
+	a.run(nil)
+	b.want(t, choice.ConnectFailed)
+}
+
+// shortConn loses its peer before the last byte.
+type shortConn struct{ net.Conn }
+
+func (c shortConn) Write(b []byte) (int, error) {
+	n, _ := c.Conn.Write(b[:len(b)-1])
+	return n, io.ErrShortWrite
+}
+
+func TestAttemptWithoutItsLastByteNeverRan(t *testing.T) {
+	b := newBench(t)
+	b.nc = shortConn{b.nc}
+	b.send(b.attempt(t))
+	go b.read()
+	b.want(t, choice.ConnectFailed)
+}
+
+// The time of an idle connection that runs out just as an attempt starts is
+// not the attempt's.
+func TestIdleTimeDoesNotEndAnAttempt(t *testing.T) {
+	b := newBench(t)
+	a := b.attempt(t)
+	b.send(a)
+	b.retire() // as if the idle deadline had passed
+	go b.read()
+	if got := a.broken(os.ErrDeadlineExceeded); got != choice.OK {
+		t.Errorf("the attempt ends with %d", got)
+	}
+	b.nc.SetDeadline(a.deadline)
+	fmt.Fprint(b.far, "-BUSY\r\n")
+	b.want(t, choice.Refused)
+}
+
+// No second attempt may overlap: the connection is closed before the outcome is told.
+func TestConnectionIsClosedBeforeTheOutcomeIsTold(t *testing.T) {
+	for _, c := range []struct {
+		end  func(*attempt)
+		want choice.Status
+	}{
+		{func(a *attempt) { a.abort() }, choice.Cancelled},
+		{func(a *attempt) { a.conn.nc.SetDeadline(a.deadline) }, choice.Timeout},
+	} {
+		b := newBench(t)
+		closed := false
+		b.pool.ended = func(_ *attempt, r reply, _ time.Duration, _ *conn) {
+			_, err := b.nc.Write([]byte("x"))
+			closed = errors.Is(err, net.ErrClosed)
+			b.ended <- r.status
+		}
+		a := b.attempt(t)
+		if c.want == choice.Timeout {
+			a.deadline = time.Now().Add(50 * time.Millisecond)
+		}
+		b.send(a)
+		go b.read()
+		c.end(a)
+		b.want(t, c.want)
+		if !closed {
+			t.Errorf("outcome %d was told on an open connection", c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/client_test.go
@@ -0,0 +1,291 @@
+package ingress
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRequestGoesOnUnchangedButForItsTimeLimit(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	c.send("q.do", anyone, someID, "k=abc,"+payment+",r=1", "BODY")
+	got := wait(t, "the request", b.got)
+	var limit int
+	if _, err := fmt.Sscanf(got.args[3], "k=abc,c=payment,t=basic,d=%d,units=1,spread=1,first=0,r=1", &limit); err != nil {
+		t.Errorf("options %q: %v", got.args[3], err)
+	}
+	if limit <= 0 || limit >= 20000 {
+		t.Errorf("the backend is told %d ms, want less than the client's 20000", limit)
+	}
+	got.args[3] = ""
+	if want := fmt.Sprint([]string{"q.do", anyone, someID, "", "BODY"}); fmt.Sprint(got.args) != want {
+		t.Errorf("the backend got %v, want %s", got.args, want)
+	}
+	got.answer("done")
+	c.want("$4\r\ndone")
+}
+
+func TestPipelinedCommandsStartAtOnceAndAreAnsweredInOrder(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	c.write(encode("Q.ASK", anyone, "0000000000000001", lookup) +
+		encode("Q.ASK", anyone, "0000000000000002", lookup) + encode("PING"))
+	one, two := wait(t, "a request", b.got), wait(t, "the one behind it", b.got)
+	if one.args[2] > two.args[2] {
+		one, two = two, one
+	}
+	two.answer("second")
+	one.answer("first")
+	c.want("$5\r\nfirst")
+	c.want("$6\r\nsecond")
+	c.want("+PONG")
+}
+
+func TestWhatIsNoRequestIsAnsweredAndNotForwarded(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	for _, words := range [][]string{
+		{"GET", "x"},
+		{"Q.ASK"},
+		{"Q.ASK", anyone, someID, lookup, "BODY"},
+		{"Q.DO", anyone, someID, payment},
+		{"Q.ASK", "00000000b4d6552", someID, lookup},
+		{"Q.ASK", "00000000b4d6552x", someID, lookup},
+		{"Q.ASK", "ffffffffffffffff", someID, lookup},
+		{"Q.ASK", anyone, "+b1f03aa5c7e2d41", lookup},
+		{"Q.ASK", anyone, someID, strings.Replace(lookup, "lookup", "order", 1)},
+		{"Q.ASK", anyone, someID, strings.Replace(lookup, "basic", "team", 1)},
+		{"Q.ASK", anyone, someID, strings.Replace(lookup, "d=20000", "d=NaN", 1)},
+		{"Q.ASK", anyone, someID, strings.Replace(lookup, "units=1", "units=-1", 1)},
+		{"Q.ASK", anyone, someID, strings.Replace(lookup, "spread=1", "spread=x", 1)},
+		{"Q.ASK", anyone, someID, "c=lookup,t=basic"},
+		{"Q.ASK", anyone, someID, "c=lookup,,"},
+		{"Q.ASK", anyone, someID, ""},
+		{"Q.ASK", anyone, someID, payment},
+		{"Q.DO", anyone, someID, lookup, "BODY"},
+		{"Q.DO", anyone, someID, payment, strings.Repeat("x", maxValue+1)},
+	} {
+		c.send(words...)
+		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("%.80q is answered %q, want -ERR", words, got)
+		}
+	}
+	c.send("PING") // the connection still serves
+	c.want("+PONG")
+	idle(t, "a forwarded request", b.got)
+}
+
+// Frames that cannot be read end their connection after a plain error, and
+// nobody else notices. Negative and overflowing lengths make the library panic.
+func TestBrokenFramesEndOnlyTheirConnection(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	other := r.dial()
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\n\r\n",
+		"$4\r\nPING\r\n",
+		"*x\r\n",
+		"*-1\r\n",
+		"*1\r\n:4\r\n",
+		"*1\r\n$-2\r\n",
+		"*1\r\n$9223372036854775807\r\nx\r\n",
+		"*1\r\n$4\r\nPINGxx\r\n",
+		"*2\r\n$4\r\nPING\r\n$100000\r\n" + strings.Repeat("x", 100000),
+	} {
+		c := r.dial()
+		c.send("PING")
+		c.want("+PONG")
+		c.write(text)
+		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("%.40q is answered %q, want -ERR", text, got)
+		}
+		c.wantEnd()
+	}
+	other.send("PING")
+	other.want("+PONG")
+}
+
+func TestPingFailsUntilBackendsAreKnown(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.member("b"))
+	r := serve(t, d, nil)
+	c := r.dial()
+	c.send("PING")
+	if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("PING is answered %q before backends are known", got)
+	}
+	close(d.gate)
+	wait(t, "a watch", d.watched)
+	r.ask(func(*loop) {}) // what came before the watch has been taken
+	c.send("PING")
+	c.want("+PONG")
+}
+
+func TestBackendsOfTheConfigurationServeWhileDiscoveryIsDown(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t)
+	addr := d.Listener.Addr().String()
+	d.Close()
+	r := serve(t, d, func(cfg *Config) {
+		cfg.Discovery = addr
+		cfg.Known = memberList{Complete: true, Members: []member{b.member("b")}}
+	})
+	c := r.dial()
+	for line := ""; line != "+PONG"; {
+		c.send("PING")
+		line = c.line()
+	}
+	c.send("Q.ASK", anyone, someID, lookup)
+	wait(t, "the request", b.got).answer("v")
+	c.want("$1\r\nv")
+}
+
+// A client that has left must not keep its attempts going.
+func TestLeavingClientEndsItsAttempts(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	c.send("Q.DO", anyone, someID, payment, "BODY")
+	got := wait(t, "the request", b.got)
+	c.nc.Close()
+	if nc := wait(t, "the end of the attempt", b.closed); nc != got.nc {
+		t.Error("another connection ended")
+	}
+	r.eventually("the request to be forgotten", func(l *loop) bool { return len(l.requests) == 0 })
+}
+
+func TestRefusalCarriesTheAdvice(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Plans[0].CeilingRate, cfg.Choice.Plans[0].CeilingBurst = 1e-9, 1 }, b.member("b"))
+	c := r.dial()
+	c.send("Q.DO", anyone, someID, payment, "BODY")
+	var ms int
+	if got := c.line(); !strings.HasPrefix(got, "-BUSY ") {
+		t.Errorf("over the ceiling the answer is %q", got)
+	} else if _, err := fmt.Sscanf(got, "-BUSY %d", &ms); err != nil || ms <= 0 || ms > 1000 {
+		t.Errorf("advice of %d ms, %v", ms, err)
+	}
+	idle(t, "a forwarded request", b.got)
+}
+
+// Open requests past the memory for them are refused; held, they would end the process.
+func TestRequestsPastTheMemoryAreRefused(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	r.ask(func(l *loop) { l.mostHeld = 3000 })
+	c := r.dial()
+	body := strings.Repeat("x", 2000)
+	c.send("Q.DO", anyone, someID, payment, body)
+	first := wait(t, "the request", b.got)
+	c.send("Q.DO", anyone, someID, payment, body)
+	r.eventually("the second request to come", func(l *loop) bool { return l.lastID == 2 })
+	first.answer("v")
+	c.want("$1\r\nv")
+	c.want("-BUSY")
+	c.send("Q.DO", anyone, someID, payment, body)
+	wait(t, "a request after the first has ended", b.got).answer("w")
+	c.want("$1\r\nw")
+}
+
+func TestStopAnswersWhatIsOpenAndEndsBetweenRequests(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	quiet, busy := r.dial(), r.dial()
+	quiet.send("PING")
+	quiet.want("+PONG")
+	busy.send("Q.DO", anyone, someID, payment, "BODY")
+	got := wait(t, "the request", b.got)
+	r.stop()
+	quiet.wantEnd()
+	late := r.dial() // clients still come for a while
+	late.send("Q.DO", anyone, someID, payment, "BODY")
+	second := wait(t, "a request after the stop", b.got)
+	second.answer("late")
+	late.want("$4\r\nlate")
+	late.wantEnd()
+	select {
+	case err := <-r.ended:
+		t.Fatalf("ended with a request open: %v", err)
+	default:
+	}
+	got.answer("v")
+	busy.want("$1\r\nv")
+	busy.wantEnd()
+	if err := wait(t, "the end", r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// At the limit of descriptors the connection that has been idle for longest
+// makes room; one with a request open never does.
+func TestIdleClientMakesRoomForANewOne(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets = 4 }, b.member("b")) // two for clients
+	for n := 1; n > 0; {                                                        // that of the rig is gone
+		r.server.mu.Lock()
+		n = len(r.server.clients)
+		r.server.mu.Unlock()
+	}
+	busy := r.dial()
+	busy.send("Q.ASK", anyone, someID, lookup)
+	got := wait(t, "the request", b.got)
+	quiet := r.dial()
+	quiet.send("PING")
+	quiet.want("+PONG")
+	third := r.dial()
+	third.send("PING")
+	third.want("+PONG")
+	quiet.wantEnd()
+	got.answer("v")
+	busy.want("$1\r\nv")
+}
+
+func TestRequestIsAnsweredBeforeItsClientGivesUp(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	asked := time.Now()
+	c.send("Q.DO", anyone, someID, strings.Replace(payment, "d=20000", "d=400", 1), "BODY")
+	got := wait(t, "the request", b.got)
+	c.want("-ERR failed")
+	if took := time.Since(asked); took < 300*time.Millisecond {
+		t.Errorf("failed after %v with no cause to", took)
+	}
+	if nc := wait(t, "the end of the attempt", b.closed); nc != got.nc {
+		t.Error("another connection ended")
+	}
+	c.send("PING") // nothing more came for the request
+	c.want("+PONG")
+}
+
+func TestConfigurationIsChecked(t *testing.T) {
+	for name, text := range map[string]string{
+		"no JSON": "{", "no settings": `{"name":"n"}`, "bad seed": `{"seed":"x","settings":` + fmt.Sprintf(settings, 1) + `}`,
+	} {
+		if _, err := ParseConfig([]byte(text)); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
+		t.Error("no error without NODE_CONFIG")
+	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	cfg, err := ParseConfig(fmt.Appendf(nil, `{"settings":%s}`, fmt.Sprintf(settings, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listen = taken.Addr().String()
+	if _, err := Listen(cfg); err == nil {
+		t.Error("no error on an address that is taken")
+	}
+}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	watchSilence  = 7 * time.Second // a watch sends a line every 2 s; after this it is taken for dead
-	watchRetry    = 250 * time.Millisecond
-	maxListLine   = 4 << 20
-	discoveryDial = 2 * time.Second
+	watchSilence = 7 * time.Second // a watch sends a line every 2 s; after this it is taken for dead
+	watchRetry   = 250 * time.Millisecond
+	maxListLine  = 4 << 20
+	listPatience = 2 * time.Second
 )
 
 // memberList is a list of backends, or the changes to one, as discovery sends it.
@@ -44,24 +44,25 @@
 
 // discovery follows the list of backends and hands each part of it on, in order.
 type discovery struct {
-	base    string
-	client  *http.Client
-	silence time.Duration
-	deliver func(memberList)
+	base     string
+	client   *http.Client
+	silence  time.Duration
+	patience time.Duration // with the whole list
+	deliver  func(memberList)
 }
 
 func newDiscovery(addr string, deliver func(memberList)) *discovery {
 	return &discovery{
 		base:    "http://" + addr + "/api/targets",
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
-		silence: watchSilence,
+		silence: watchSilence, patience: listPatience,
 		deliver: deliver,
 	}
 }
 
 // list fetches the whole list.
 func (d *discovery) list(ctx context.Context) (l memberList, err error) {
-	ctx, cancel := context.WithTimeout(ctx, discoveryDial)
+	ctx, cancel := context.WithTimeout(ctx, d.patience)
 	defer cancel()
 	resp, err := d.get(ctx, d.base)
 	if err != nil {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -44,8 +44,10 @@
 	args []string
 }
 
-func (r received) answer(value string) { fmt.Fprintf(r.nc, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value) }
-func (r received) line(text string)    { fmt.Fprintf(r.nc, "%s\r\n", text) }
+func (r received) answer(value string) {
+	fmt.Fprintf(r.nc, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+}
+func (r received) line(text string) { fmt.Fprintf(r.nc, "%s\r\n", text) }
 func (r received) reset() {
 	r.nc.(*net.TCPConn).SetLinger(0)
 	r.nc.Close()
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -59,7 +59,11 @@
 		cfg: cfg, start: time.Now(), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		requests: map[uint32]*request{}, mostHeld: cfg.Limits.MemoryMB << 20 / heldShare,
 	}
-	l.pool = newPool(cfg, l.post)
+	l.pool = newPool(cfg,
+		func(a *attempt, r reply, elapsed time.Duration, c *conn) {
+			l.post(func(l *loop) { l.ended(a, r, elapsed, c) })
+		},
+		func(c *conn) { l.post(func(l *loop) { l.pool.drop(c) }) })
 	var err error
 	if l.gateway, err = choice.New(cfg.Choice, cfg.Seed, l.now(), l); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
@@ -180,9 +184,7 @@
 			ID: l.pool.member(m, state), Zone: index(l.cfg.zones, m.Locality), Kind: index(l.cfg.kinds, m.Flavor),
 			Cell: m.Cell, State: state, Weight: m.Size,
 		}
-		if m.UpSince > 0 {
-			b.Started, b.Dated = time.UnixMilli(m.UpSince).Sub(l.start), true
-		}
+		b.Started, b.Dated = l.started(m.UpSince)
 		backends = append(backends, b)
 	}
 	if kind != choice.Delta {
@@ -206,6 +208,15 @@
 	}
 }
 
+// started turns the start of a backend, in Unix time, into the gateway's
+// clock. 0 stands for long ago.
+func (l *loop) started(unixMillis int64) (at time.Duration, dated bool) {
+	if unixMillis <= 0 {
+		return 0, false
+	}
+	return time.UnixMilli(unixMillis).Sub(l.start), true
+}
+
 // index is the place of a name in a list of the settings; a name that is not
 // there is no place of ours.
 func index(places map[string]int, name string) int {
