Notice a dead watch of discovery within 4.5 s; note the second score

It is 4.5 s now, two missing lines. The whole list is waited for 1 s, not 2: after a restart with discovery silent, clients wait for that long.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -11,10 +11,13 @@
 )
 
 const (
-	watchSilence = 7 * time.Second // a watch sends a line every 2 s; after this it is taken for dead
+	// watchSilence is two of the lines that come every 2 s and a little. What
+	// discovery has to tell counts as told after 6 s even if it never arrives,
+	// so a watch that was cut off must be noticed before that.
+	watchSilence = 4500 * time.Millisecond
 	watchRetry   = 250 * time.Millisecond
 	maxListLine  = 4 << 20
-	listPatience = 2 * time.Second
+	listPatience = time.Second // an agent that has a list answers at once
 )
 
 // memberList is a list of backends, or the changes to one, as discovery sends it.
