--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -22,6 +22,9 @@
 }
 
 func run() error {
+	// Taken from the first moment on: by default SIGHUP ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := ingress.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -34,5 +37,15 @@
 		return err
 	}
 	slog.Info("serving", "name", cfg.Name, "address", srv.Addr().String())
+	go func() {
+		for range reload {
+			if next, err := ingress.LoadConfig(os.Getenv); err != nil {
+				slog.Error("the configuration stays as it was", "error", err)
+			} else {
+				slog.Info("configuration read again", "discovery", next.Discovery)
+				srv.Reload(next)
+			}
+		}
+	}()
 	return srv.Serve(ctx)
 }
--- a/cmd/wickarch/main_test.go
+++ b/cmd/wickarch/main_test.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -30,32 +33,85 @@
   "request_classes":[{"name":"lookup","aim_ms":600,"give_up_ms":1000,"effect":"free","worth":2}],
   "tiers_of_service":[{"name":"basic","quota_rate":10,"burst":10,"price":1}]}}`
 
-func TestProgramStartsAndEndsWithSigterm(t *testing.T) {
-	asked := make(chan struct{}, 10)
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+// agent is a discovery that tells each time its list is asked for.
+func agent(t *testing.T) (addr string, asked chan struct{}) {
+	asked = make(chan struct{}, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, `{"revision":1,"complete":true,"members":[]}`)
-		asked <- struct{}{}
+		if r.URL.Query().Get("stream") == "" {
+			asked <- struct{}{}
+		}
 	}))
-	defer discovery.Close()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, fmt.Appendf(nil, config, discovery.Listener.Addr().String()), 0o600); err != nil {
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String(), asked
+}
+
+// configure replaces the file of the configuration.
+func configure(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// SIGHUP must move discovery and, by itself, would end the program.
+func TestProgramRereadsItsConfigurationAndEndsWithSigterm(t *testing.T) {
+	first, atFirst := agent(t)
+	second, atSecond := agent(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, fmt.Sprintf(config, first))
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, os.Args[0])
 	cmd.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path)
-	cmd.Stderr = os.Stderr
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	select {
-	case <-asked: // it serves
-	case <-ctx.Done():
+	lines := bufio.NewScanner(log)
+	signal := func(s os.Signal) {
+		t.Helper()
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	wait := func(what string, asked chan struct{}) {
+		t.Helper()
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+	logged := func(text string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), text) {
+				return
+			}
+		}
+		t.Fatalf("the log never says %q", text)
+	}
+	wait("the start", atFirst)
+	configure(t, path, "{")
+	signal(syscall.SIGHUP)
+	logged("the configuration stays as it was")
+	for range 3 {
+		configure(t, path, fmt.Sprintf(config, second))
+		signal(syscall.SIGHUP)
+		wait("the move", atSecond)
+		configure(t, path, fmt.Sprintf(config, first))
+		signal(syscall.SIGHUP)
+		wait("the move back", atFirst)
 	}
+	go io.Copy(io.Discard, log)
+	signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -30,6 +30,9 @@
 	loop *loop
 	late func() // waits while clients still come after the stop
 
+	sources *sources
+	moves   chan string // addresses of discovery to move to
+
 	mu       sync.Mutex
 	clients  map[*client]struct{}
 	draining bool          // connections close between requests
@@ -48,7 +51,23 @@
 		return nil, fmt.Errorf("clients: %w", err)
 	}
 	return &Server{cfg: &cfg, ln: ln, loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
-		late: func() { time.Sleep(acceptAfterStop) }}, nil
+		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
+		sources: newSources(func(m memberList) {
+			kind := choice.Delta
+			if m.Complete {
+				kind = choice.Full
+			}
+			l.post(func(l *loop) { l.members(kind, m) })
+		})}, nil
+}
+
+// Reload takes what may change while the ingress runs: the address of
+// discovery. All connections and all that is known stay.
+func (s *Server) Reload(cfg Config) {
+	select {
+	case s.moves <- cfg.Discovery:
+	case <-s.loop.done:
+	}
 }
 
 // Addr is the address on which clients are served.
@@ -61,16 +80,18 @@
 	stop := make(chan struct{})
 	defer func() { close(stop); <-s.loop.done }()
 	go s.loop.run(stop)
-	watching, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	d := newDiscovery(s.cfg.Discovery, func(l memberList) {
-		kind := choice.Delta
-		if l.Complete {
-			kind = choice.Full
+	defer s.sources.close()
+	s.sources.follow(s.cfg.Discovery, func() { s.loop.post((*loop).open) })
+	go func() {
+		for {
+			select {
+			case addr := <-s.moves:
+				s.sources.follow(addr, nil)
+			case <-s.loop.done:
+				return
+			}
 		}
-		s.loop.post(func(o *loop) { o.members(kind, l) })
-	})
-	go d.run(watching, func() { s.loop.post((*loop).open) })
+	}()
 	failed := make(chan error, 1)
 	go func() { failed <- s.accept() }()
 	select {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -90,6 +90,9 @@
 			*field = getenv(name)
 		}
 	}
+	if cfg.Listen == "" || cfg.Discovery == "" {
+		return Config{}, fmt.Errorf("configuration %s: the address of clients or of discovery is missing", path)
+	}
 	return cfg, nil
 }
 
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -56,6 +57,61 @@
 	failing  bool // as last reported
 }
 
+// sources follows discovery at one address, and moves to another without a gap:
+// the address before stays in force until the new one has told its whole list.
+type sources struct {
+	deliver func(memberList)
+	ctx     context.Context
+	close   context.CancelFunc
+
+	mu      sync.Mutex
+	current *source // whose list is in force
+	next    *source // which has told nothing yet
+}
+
+type source struct{ leave context.CancelFunc }
+
+func newSources(deliver func(memberList)) *sources {
+	s := &sources{deliver: deliver}
+	s.ctx, s.close = context.WithCancel(context.Background())
+	return s
+}
+
+// follow moves to an address. started is called after the first try at its
+// list, whether it went well or not.
+func (s *sources) follow(addr string, started func()) {
+	ctx, leave := context.WithCancel(s.ctx)
+	src := &source{leave}
+	s.mu.Lock()
+	if s.next != nil {
+		s.next.leave()
+	}
+	s.next = src
+	s.mu.Unlock()
+	d := newDiscovery(addr, func(l memberList) { s.take(src, l) })
+	go func() {
+		d.run(ctx, started)
+		d.client.CloseIdleConnections()
+	}()
+}
+
+// take hands on what a source tells. Revisions of one address mean nothing at
+// another, so a line of the old one that comes after the list of the new one
+// is dropped.
+func (s *sources) take(from *source, l memberList) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from == s.next {
+		if s.current != nil {
+			s.current.leave()
+		}
+		s.current, s.next = from, nil
+	}
+	if from == s.current {
+		s.deliver(l)
+	}
+}
+
 func newDiscovery(addr string, deliver func(memberList)) *discovery {
 	return &discovery{
 		base:    "http://" + addr + "/api/targets",
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -99,3 +99,60 @@
 		}
 	})
 }
+
+// A new configuration moves discovery: the new address tells its whole list and
+// its own revision, and neither connections nor what is known get lost.
+func TestDiscoveryMovesToANewAddress(t *testing.T) {
+	one, two := newBackend(t), newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, one.member("1"))
+	wait(t, "a watch", r.discovery.watched)
+	c := r.dial()
+	c.send("Q.ASK", anyone, someID, lookup)
+	first := wait(t, "the request", one.got)
+
+	silent := newFakeDiscovery(t) // tells nothing: the old address stays in force
+	r.server.Reload(Config{Discovery: silent.Listener.Addr().String()})
+	r.discovery.lines <- fmt.Sprintf(`{"revision":99,"complete":false,"members":[{"id":"2","host_port":%q,"phase":"SERVING","size":1}]}`, two.addr)
+	r.eventually("a change at the old address", func(l *loop) bool { return len(l.pool.byName) == 2 })
+
+	next := newFakeDiscovery(t, one.member("1"))
+	close(next.gate)
+	for range 2 { // also to where it is
+		r.server.Reload(Config{Discovery: next.Listener.Addr().String()})
+		if index := wait(t, "a watch at the new address", next.watched); index != "7" {
+			t.Errorf("the new watch begins at %s, want its own list's 7", index)
+		}
+	}
+	r.eventually("the new list to be in force", func(l *loop) bool { return len(l.pool.byName) == 1 })
+	first.answer("v")
+	c.want("$1\r\nv")
+	c.send("Q.ASK", anyone, "9b1f03aa5c7e2d42", lookup)
+	if again := wait(t, "a further request", one.got); again.nc != first.nc {
+		t.Error("the connection to the backend was not kept")
+	} else {
+		again.answer("w")
+	}
+	c.want("$1\r\nw")
+}
+
+// What the old address tells after the new one's list is out of date.
+func TestLinesOfAnAddressLeftAreDropped(t *testing.T) {
+	got := make(chan int64, 10)
+	s := newSources(func(l memberList) { got <- l.Revision })
+	defer s.close()
+	old, next := &source{func() {}}, &source{func() {}}
+	s.next = old
+	s.take(old, memberList{Revision: 1})
+	s.next = next
+	s.take(old, memberList{Revision: 2})
+	s.take(next, memberList{Revision: 3})
+	s.take(old, memberList{Revision: 4})
+	close(got)
+	var revisions []int64
+	for r := range got {
+		revisions = append(revisions, r)
+	}
+	if fmt.Sprint(revisions) != "[1 2 3]" {
+		t.Errorf("revisions %v are handed on, want [1 2 3]", revisions)
+	}
+}
