--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -30,7 +30,19 @@
 		{"*3\r\n$0\r\n\r\n$-1\r\n$26\r\nlatency_ms=12.5,inflight=7\r\n",
 			reply{status: choice.OK, value: []byte("$0\r\n\r\n"), load: load}},
 		{"*3\r\n$-1\r\n$6\r\nused=0\r\n$-1\r\n", reply{status: choice.Error, metered: true}},
-		{"*1\r\n*1\r\n$1\r\nv\r\n", reply{status: choice.Error}},
+		{"*3\r\n$1\r\nv\r\n:5\r\n+x\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		// figures that can't be read, or beyond reason, are left out; the value stays
+		{"*3\r\n$1\r\nv\r\n$8\r\nused=-37\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$1\r\nv\r\n$8\r\nused=1e9\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$1\r\nv\r\n$11\r\nused=999999\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=x\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"$26\r\ninflight=7,latency_ms=-1.5\r\n", reply{status: choice.OK}},
+		{"$25\r\ninflight=7,inflight=77.00\r\n", reply{status: choice.OK}},
+		{"$10\r\ninflight=7\r\n", reply{status: choice.OK}},
+		{"$31\r\ninflight=7000000,latency_ms=1.5\r\n", reply{status: choice.OK}},
+		// a spoilt line proves nothing
+		{"-BUSY \x01\xff\r\n", reply{status: choice.Error}},
+		{"-BUSYx\r\n", reply{status: choice.Error}},
 		{"-ERR failed\r\n", reply{status: choice.Error}},
 		{"-ERR failed used=120 inflight=7,latency_ms=12.5\r\n", reply{status: choice.Error, metered: true, used: 1.2, load: load}},
 		{"-BUSY\r\n", reply{status: choice.Refused}},
@@ -52,7 +64,9 @@
 			t.Errorf("%q is understood as %+v (%d bytes, %v), want %+v", c.text, got, n, err, c.want)
 		}
 	}
-	for _, text := range []string{"$9223372036854775807\r\nxx\r\n", "*1\r\n$" + strings.Repeat("x", maxMessage)} {
+	for _, text := range []string{"$9223372036854775807\r\nxx\r\n", "*1\r\n", "*3\r\n$x", "*3\r\n$3000000000", "*3\r\n$70000\r\n",
+		"*3\r\n$1\r\nvv\r\n", "*3\r\n*1\r\n", "*-1\r\n", "*3\r\n$-2", "*3\r\n$1\r\nv\r\n$9999\r\n", "*3\r\n$1\r\nv\r\nx", "\x00", "noise",
+		"+OK\n", "-" + strings.Repeat("x", maxLine)} {
 		if _, _, err := cfg.nextReply([]byte(text)); err == nil {
 			t.Errorf("%.40q: no error", text)
 		}
@@ -71,7 +85,7 @@
 		func(got received) { got.nc.Write([]byte("*3\r\n$9\r\nhal")); got.nc.Close() },
 	} {
 		c := r.dial()
-		c.send("Q.DO", anyone, someID, payment, "BODY")
+		c.send("Q.DO", anyone, newID(), payment, "BODY")
 		select {
 		case got := <-one.got:
 			end(got)
@@ -89,7 +103,7 @@
 	one, two := newBackend(t), newBackend(t)
 	r := newRig(t, nil, one.member("1"), two.member("2"))
 	c := r.dial()
-	c.send("Q.DO", anyone, someID, payment, "BODY")
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
 	var first, second received
 	select {
 	case first = <-one.got:
@@ -116,7 +130,7 @@
 	r := newRig(t, nil, b.member("b"), dead)
 	c := r.dial()
 	for range 10 { // some of them try the dead one first
-		c.send("Q.DO", anyone, someID, payment, "BODY")
+		c.send("Q.DO", anyone, newID(), payment, "BODY")
 		wait(t, "the request", b.got).answer("v")
 		c.want("$1\r\nv")
 	}
@@ -128,7 +142,7 @@
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
 	c := r.dial()
-	c.write(encode("Q.ASK", anyone, someID, lookup) + encode("Q.ASK", anyone, someID, lookup))
+	c.write(encode("Q.ASK", anyone, newID(), lookup) + encode("Q.ASK", anyone, newID(), lookup))
 	one, two := wait(t, "a request", b.got), wait(t, "another", b.got)
 	if one.nc == two.nc {
 		t.Error("two requests on one connection at a time")
@@ -137,7 +151,7 @@
 	two.answer("v")
 	c.want("$1\r\nv")
 	c.want("$1\r\nv")
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	if three := wait(t, "a third", b.got); three.nc != one.nc && three.nc != two.nc {
 		t.Error("a new connection though two are idle")
 	} else {
@@ -153,7 +167,7 @@
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
 	c := r.dial()
 	for range 3 {
-		c.send("Q.DO", anyone, someID, payment, "BODY")
+		c.send("Q.DO", anyone, newID(), payment, "BODY")
 		got := wait(t, "the request", b.got)
 		got.answer("v")
 		c.want("$1\r\nv")
@@ -167,14 +181,14 @@
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.connIdle, cfg.Choice.Probing = 100*time.Millisecond, false }, b.member("b"))
 	c := r.dial()
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	got := wait(t, "the request", b.got)
 	got.answer("v")
 	c.want("$1\r\nv")
 	if nc := wait(t, "the end of the idle connection", b.closed); nc != got.nc {
 		t.Error("another connection ended")
 	}
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	wait(t, "the next request", b.got).answer("w")
 	c.want("$1\r\nw")
 }
@@ -184,7 +198,7 @@
 	one, two := newBackend(t), newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets, cfg.Choice.Probing = 5, false }, one.member("1")) // one for backends
 	c := r.dial()
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	wait(t, "the request", one.got).answer("v")
 	c.want("$1\r\nv")
 	r.ask(func(l *loop) {
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -1,195 +1,35 @@
 package ingress
 
 import (
-	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
-
-	"curlewsail/choice"
 )
 
 const (
-	acceptAfterStop = 450 * time.Millisecond // clients connect for a while after SIGTERM
-	lastAnswers     = 150 * time.Millisecond // to write what became due last
-	writeTimeout    = 5 * time.Second        // a client that does not read its answers
-	lingerTime      = 200 * time.Millisecond // to read what crosses the end of a connection
-	mostPending     = 512                    // open requests on one connection
-	acceptRetry     = 5 * time.Millisecond
+	writeTimeout  = 5 * time.Second         // a client that does not read its answers
+	lingerTime    = 200 * time.Millisecond  // to read what crosses the end of a connection
+	lingerBytes   = 64 << 10                // and so much of it
+	mostPending   = 128                     // open requests on one connection
+	firstPatience = 2200 * time.Millisecond // for the first command on a connection
+	halfPatience  = 2 * time.Second         // for the rest of one that has begun
+	mostWrong     = 8                       // wrong commands after which a connection ends
+	wrongPause    = 50 * time.Millisecond   // before the answer to the second one, and each further one
 )
 
-// Server is one running ingress.
-type Server struct {
-	cfg  *Config
-	ln   net.Listener
-	loop *loop
-	late func() // waits while clients still come after the stop
-
-	sources *sources
-	moves   chan string // addresses of discovery to move to
-
-	mu       sync.Mutex
-	clients  map[*client]struct{}
-	draining bool          // connections close between requests
-	stopping bool          // no further connection is taken
-	empty    chan struct{} // closed when stopping and no client is left
-}
-
-// Listen makes an ingress and opens its address.
-func Listen(cfg Config) (*Server, error) {
-	l, err := newLoop(&cfg)
-	if err != nil {
-		return nil, err
-	}
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("clients: %w", err)
-	}
-	return &Server{cfg: &cfg, ln: ln, loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
-		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
-		sources: newSources(func(m memberList) {
-			kind := choice.Delta
-			if m.Complete {
-				kind = choice.Full
-			}
-			l.post(func(l *loop) { l.members(kind, m) })
-		})}, nil
-}
-
-// Reload takes what may change while the ingress runs: the address of
-// discovery. All connections and all that is known stay.
-func (s *Server) Reload(cfg Config) {
-	select {
-	case s.moves <- cfg.Discovery:
-	case <-s.loop.done:
-	}
-}
-
-// Addr is the address on which clients are served.
-func (s *Server) Addr() net.Addr { return s.ln.Addr() }
-
-// Serve runs the ingress until ctx ends. It then goes on accepting for the
-// time in which clients still come, answers all that it has taken, closes each
-// connection between requests, and returns.
-func (s *Server) Serve(ctx context.Context) error {
-	stop := make(chan struct{})
-	defer func() { close(stop); <-s.loop.done }()
-	go s.loop.run(stop)
-	defer s.sources.close()
-	s.sources.follow(s.cfg.Discovery, func() { s.loop.post((*loop).open) })
-	go func() {
-		for {
-			select {
-			case addr := <-s.moves:
-				s.sources.follow(addr, nil)
-			case <-s.loop.done:
-				return
-			}
-		}
-	}()
-	failed := make(chan error, 1)
-	go func() { failed <- s.accept() }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-
-	longest := time.Duration(0)
-	for _, c := range s.cfg.Choice.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	s.drain()
-	s.late()
-	s.ln.Close()
-	s.mu.Lock()
-	s.stopping = true
-	s.checkEmpty()
-	s.mu.Unlock()
-	s.drain()
-	select {
-	case <-s.empty:
-	case <-time.After(longest + lastAnswers):
-	}
-	return nil
-}
-
-// drain makes each connection close as soon as it has nothing open.
-func (s *Server) drain() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-	for c := range s.clients {
-		c.drain()
-	}
-}
-
-func (s *Server) checkEmpty() {
-	if s.stopping && len(s.clients) == 0 {
-		select {
-		case <-s.empty:
-		default:
-			close(s.empty)
-		}
-	}
-}
-
-func (s *Server) accept() error {
-	for {
-		nc, err := s.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil { // out of descriptors, or a connection that broke at once
-			time.Sleep(acceptRetry)
-			continue
-		}
-		if !s.add(nc) {
-			nc.Close()
-		}
-	}
-}
-
-// add serves a new connection. Past the limit it closes the one that has been
-// idle for longest.
-func (s *Server) add(nc net.Conn) bool {
-	c := &client{server: s, nc: nc, used: time.Now(), wake: make(chan struct{}, 1), space: make(chan struct{}, 1)}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping {
-		return false
-	}
-	if len(s.clients) >= s.cfg.Limits.clients() {
-		var oldest *client
-		var used time.Time
-		for o := range s.clients {
-			if at, idle := o.idleSince(); idle && (oldest == nil || at.Before(used)) {
-				oldest, used = o, at
-			}
-		}
-		if oldest == nil {
-			return false
-		}
-		oldest.drain()
-	}
-	c.drained = s.draining // closes after its first answer
-	s.clients[c] = struct{}{}
-	go c.read()
-	go c.write()
-	return true
-}
-
-func (s *Server) remove(c *client) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.clients, c)
-	s.checkEmpty()
-}
+var (
+	errSilent   = errors.New("no command came in time")
+	errHalf     = errors.New("the command did not become whole in time")
+	errWrong    = errors.New("too many wrong commands")
+	errNoMemory = errors.New("no memory is left for the command")
+	errLeft     = errors.New("the client is gone, or is to go")
+)
 
 // slot is the place of one answer in the order of its connection.
 type slot struct {
@@ -201,19 +41,31 @@
 // client is a client's connection. A reader takes commands off it and starts
 // them at once; a writer sends the answers in the order of the commands.
 type client struct {
-	server *Server
-	nc     net.Conn
-	wake   chan struct{} // the writer has something to do
-	space  chan struct{} // the reader may go on
+	server  *Server
+	nc      net.Conn
+	opened  time.Time
+	wake    chan struct{} // the writer has something to do
+	space   chan struct{} // the reader may go on
+	written chan struct{} // closed when the writer has ended
+	wrong   atomic.Int32  // wrong commands so far
 
 	mu      sync.Mutex
 	pending []*slot
 	used    time.Time
+	writing bool // the writer runs, or has run
+	asked   bool // has sent a request that could be taken
+	evicted bool // closed to make room
 	closing bool // takes no further command, and ends when all is answered
 	drained bool // closes between requests
 	gone    bool
 }
 
+func newClient(s *Server, nc net.Conn) *client {
+	now := time.Now()
+	return &client{server: s, nc: nc, opened: now, used: now, wake: make(chan struct{}, 1),
+		space: make(chan struct{}, 1), written: make(chan struct{})}
+}
+
 func notify(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -221,22 +73,65 @@
 	}
 }
 
-func (c *client) idleSince() (time.Time, bool) {
+// standing tells how much a connection matters.
+type standing struct {
+	asked bool
+	used  time.Time
+}
+
+func (s standing) before(o standing) bool {
+	if s.asked != o.asked {
+		return o.asked
+	}
+	return s.used.Before(o.used)
+}
+
+// standing tells too whether the connection may be closed now.
+func (c *client) standing(now time.Time) (s standing, closable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.pending) == 0 && !c.closing && !c.drained
+	least := silentLeast
+	if c.asked {
+		least = idleLeast
+	}
+	return standing{c.asked, c.used},
+		len(c.pending) == 0 && !c.closing && !c.drained && now.Sub(c.used) >= least
+}
+
+// evict closes the connection at once. A command that crosses this counts as
+// not read, and the client sends it elsewhere.
+func (c *client) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted, c.closing = true, true
+	c.nc.SetReadDeadline(longAgo)
 }
 
 func (c *client) drain() {
 	c.mu.Lock()
 	c.drained = true
+	c.startWriter()
 	c.mu.Unlock()
 	notify(c.wake)
 }
 
+// startWriter starts the writer with the first that it has to do: most
+// connections of bad clients never give it anything.
+func (c *client) startWriter() {
+	if !c.writing {
+		c.writing = true
+		go c.write()
+	}
+}
+
 // fill gives a slot its answer. It does not block.
 func (c *client) fill(s *slot, data []byte) {
 	c.mu.Lock()
+	if c.gone {
+		c.mu.Unlock()
+		return
+	}
+	c.server.loop.memory.force(len(data)) // until it is written
 	s.data, s.filled = data, true
 	first := len(c.pending) > 0 && c.pending[0] == s
 	c.mu.Unlock()
@@ -254,6 +149,8 @@
 		closing := c.closing
 		if !full && !closing {
 			c.pending = append(c.pending, s)
+			c.asked = c.asked || s.request != nil
+			c.startWriter()
 		}
 		c.mu.Unlock()
 		if !full || closing {
@@ -271,48 +168,103 @@
 		if s.request != nil && !s.filled {
 			open = append(open, s.request)
 		}
+		c.server.loop.memory.give(len(s.data))
 	}
 	c.pending = nil
 	return open
 }
 
-// read takes commands until the client leaves.
+// read takes commands until the client leaves, or sends what can't be read.
 func (c *client) read() {
+	if err := c.take(); !errors.Is(err, errLeft) && c.refuse(err) {
+		// What follows cannot be told apart any more. It is not read while the
+		// answers still due are written, and hardly after: a client that sends
+		// on at full speed must not cost the others their CPU.
+		c.mu.Lock()
+		c.closing = true
+		c.mu.Unlock()
+		notify(c.wake)
+		<-c.written
+		io.CopyN(io.Discard, c.nc, lingerBytes)
+	}
+	c.nc.Close()
+	c.mu.Lock()
+	c.gone = true
+	c.mu.Unlock()
+	notify(c.wake)
+	c.server.loop.post(func(l *loop) { l.gone(c) })
+	c.server.remove(c)
+}
+
+// take starts the commands as they come.
+func (c *client) take() error {
 	buf := make([]byte, 0, readBuffer)
+	defer func() { c.server.loop.memory.give(cap(buf) - readBuffer) }()
+	// A client that says nothing, or half a command and no more, would keep
+	// its descriptor for good.
+	c.await(c.opened.Add(firstPatience))
+	timed := true
 	for {
 		n, err := c.nc.Read(buf[len(buf):cap(buf)])
-		if err != nil {
-			break
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && !c.ends():
+			if len(buf) > 0 {
+				return errHalf
+			}
+			return errSilent
+		case err != nil:
+			return errLeft
 		}
 		at := time.Now()
 		buf = buf[:len(buf)+n]
-		rest, bad := c.commands(buf, at)
-		if bad != nil {
-			// What follows cannot be told apart any more.
-			c.refuse(bad)
-			c.mu.Lock()
-			c.closing = true
-			c.mu.Unlock()
-			notify(c.wake)
-			io.Copy(io.Discard, c.nc)
-			break
+		rest, err := c.commands(buf, at)
+		if err != nil {
+			return err
 		}
-		switch {
-		case len(rest) == 0 && cap(buf) > readBuffer:
-			buf = make([]byte, 0, readBuffer)
-		case len(rest) == cap(buf):
-			buf = append(make([]byte, 0, 2*cap(buf)), rest...)
-		default:
-			buf = buf[:copy(buf[:cap(buf)], rest)]
+		switch half := len(rest) > 0; {
+		case half && (!timed || len(rest) < len(buf)):
+			c.await(at.Add(halfPatience))
+			timed = true
+		case !half && timed:
+			c.await(time.Time{})
+			timed = false
+		}
+		if buf, err = c.refit(buf, rest); err != nil {
+			return err
 		}
 	}
-	c.nc.Close()
+}
+
+// refit makes a buffer of what is left of buf, with room to read on.
+func (c *client) refit(buf, rest []byte) ([]byte, error) {
+	memory := c.server.loop.memory
+	switch {
+	case len(rest) == 0 && cap(buf) > readBuffer:
+		memory.give(cap(buf) - readBuffer)
+		return make([]byte, 0, readBuffer), nil
+	case len(rest) == cap(buf):
+		size := min(2*cap(buf), maxMessage+readBuffer)
+		if !memory.take(size - cap(buf)) {
+			return buf, errNoMemory
+		}
+		return append(make([]byte, 0, size), rest...), nil
+	}
+	return buf[:copy(buf[:cap(buf)], rest)], nil
+}
+
+// await lets the reader wait until then; the end of the connection goes before.
+func (c *client) await(until time.Time) {
 	c.mu.Lock()
-	c.gone = true
-	c.mu.Unlock()
-	notify(c.wake)
-	c.server.loop.post(func(l *loop) { l.gone(c) })
-	c.server.remove(c)
+	defer c.mu.Unlock()
+	if !c.closing {
+		c.nc.SetReadDeadline(until)
+	}
+}
+
+func (c *client) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
 }
 
 // commands starts all whole commands in buf and returns what is left.
@@ -323,33 +275,59 @@
 			return buf, err
 		}
 		buf = buf[n:]
-		if len(args) > 0 { // an empty array asks for nothing
-			c.command(args, n, at)
+		if len(args) == 0 { // an empty array asks for nothing
+			continue
+		}
+		wrong, ok := c.command(args, n, at)
+		if !ok {
+			return nil, errLeft
+		}
+		if wrong == nil {
+			continue
+		}
+		// Bounded for each connection, so that who sends nonsense as fast as
+		// it is turned away leaves the CPU to the others.
+		switch n := c.wrong.Add(1); {
+		case n >= mostWrong:
+			return nil, errWrong
+		case n > 1:
+			time.Sleep(wrongPause)
+		}
+		if !c.refuse(wrong) {
+			return nil, errLeft
 		}
 	}
 	return nil, nil
 }
 
-func (c *client) command(args [][]byte, size int, at time.Time) {
+// command starts a command. It tells what is wrong with it, and whether the
+// connection takes it: otherwise it counts as not read.
+func (c *client) command(args [][]byte, size int, at time.Time) (wrong error, ok bool) {
 	if equalFold(args[0], "PING") {
-		answer := redcon.AppendString(nil, "PONG")
 		if !c.server.loop.ready.Load() {
-			answer = redcon.AppendError(nil, "ERR no backend is known")
+			return nil, c.reply(redcon.AppendError(nil, "ERR no backend is known"))
 		}
-		c.reply(answer)
-		return
+		return nil, c.reply(redcon.AppendString(nil, "PONG"))
 	}
-	cmd, err := c.server.cfg.parseCommand(own(args, size))
+	cmd, err := c.server.cfg.parseCommand(args)
 	if err != nil {
-		c.refuse(err)
-		return
+		return err, true
 	}
+	memory := c.server.loop.memory
+	if !memory.take(size) {
+		// Nothing has run; holding more would end the whole process.
+		return nil, c.reply(redcon.AppendError(nil, "BUSY"))
+	}
+	cmd.args = own(args, size)
 	limit := min(cmd.limit, c.server.cfg.Choice.Classes[cmd.class].Deadline)
 	r := &request{command: cmd, size: size, from: c, deadline: at.Add(limit - min(answerMargin, limit/marginPart))}
 	r.slot = &slot{request: r}
-	if c.push(r.slot) {
-		c.server.loop.post(func(l *loop) { l.request(r) })
+	if !c.push(r.slot) {
+		memory.give(size)
+		return nil, false
 	}
+	c.server.loop.post(func(l *loop) { l.request(r) })
+	return nil, true
 }
 
 // own copies the parts out of the read buffer.
@@ -363,17 +341,21 @@
 	return args
 }
 
-func (c *client) reply(data []byte) {
-	if c.push(&slot{data: data, filled: true}) {
-		notify(c.wake)
+func (c *client) reply(data []byte) bool {
+	if !c.push(&slot{data: data, filled: true}) {
+		return false
 	}
+	c.server.loop.memory.force(len(data))
+	notify(c.wake)
+	return true
 }
 
 // refuse answers what is no valid request.
-func (c *client) refuse(err error) { c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
+func (c *client) refuse(err error) bool { return c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
 
 // write sends the answers in order.
 func (c *client) write() {
+	defer close(c.written)
 	var out []byte
 	for range c.wake {
 		c.mu.Lock()
@@ -396,11 +378,14 @@
 		c.mu.Unlock()
 		notify(c.space)
 		if gone {
+			c.server.loop.memory.give(len(out))
 			return
 		}
 		if len(out) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := c.nc.Write(out); err != nil {
+			_, err := c.nc.Write(out)
+			c.server.loop.memory.give(len(out))
+			if err != nil {
 				c.nc.Close() // the reader notices
 				c.mu.Lock()
 				c.gone = true
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -49,40 +49,140 @@
 func TestWhatIsNoRequestIsAnsweredAndNotForwarded(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
-	c := r.dial()
+	ask := func(from, to string) []string {
+		if !strings.Contains(lookup, from) {
+			t.Fatalf("%q is not in the options", from)
+		}
+		return []string{"Q.ASK", anyone, someID, strings.Replace(lookup, from, to, 1)}
+	}
 	for _, words := range [][]string{
 		{"GET", "x"},
 		{"Q.ASK"},
 		{"Q.ASK", anyone, someID, lookup, "BODY"},
+		{"Q.ASK", anyone, lookup},
 		{"Q.DO", anyone, someID, payment},
 		{"Q.ASK", "00000000b4d6552", someID, lookup},
 		{"Q.ASK", "00000000b4d6552x", someID, lookup},
 		{"Q.ASK", "ffffffffffffffff", someID, lookup},
+		{"Q.ASK", anyone, "", lookup},
 		{"Q.ASK", anyone, "+b1f03aa5c7e2d41", lookup},
-		{"Q.ASK", anyone, someID, strings.Replace(lookup, "lookup", "order", 1)},
-		{"Q.ASK", anyone, someID, strings.Replace(lookup, "basic", "team", 1)},
-		{"Q.ASK", anyone, someID, strings.Replace(lookup, "d=20000", "d=NaN", 1)},
-		{"Q.ASK", anyone, someID, strings.Replace(lookup, "units=1", "units=-1", 1)},
-		{"Q.ASK", anyone, someID, strings.Replace(lookup, "spread=1", "spread=x", 1)},
+		ask("lookup", "order"), ask("basic", "team"),
+		ask("d=20000", "d=NaN"), ask("d=20000", "d=1e4"), ask("d=20000", "d=0"), ask("d=20000", "d=-5"), ask("d=20000", "d="),
+		ask("units=1", "units=-1"), ask("units=1", "units=0"), ask("units=1", "units=2"), ask("units=1", "units=1e0"),
+		ask("units=1", "units=0x1"), ask("units=1", "units=1."), ask("units=1", "units=many"), ask(",units=1", ""),
+		ask("spread=1", "spread=x"), ask("spread=1", "spread=0"), ask("spread=1", "spread=2"), ask("spread=1", "spread=+1"), ask(",spread=1", ""),
+		ask("first=0", "first=1"), ask("first=0", "first=-1"), ask("first=0", "first=0.0"), ask(",first=0", ""),
+		ask("first=0", "first=0,r=2"), ask("first=0", "first=0,r=x"), ask("first=0", "first=0,r="),
+		ask("first=0", "first=0,units=1"), ask("first=0", "first=0,c=lookup"), ask("first=0", "first=0,d=5"),
 		{"Q.ASK", anyone, someID, "c=lookup,t=basic"},
 		{"Q.ASK", anyone, someID, "c=lookup,,"},
 		{"Q.ASK", anyone, someID, ""},
 		{"Q.ASK", anyone, someID, payment},
 		{"Q.DO", anyone, someID, lookup, "BODY"},
-		{"Q.DO", anyone, someID, payment, strings.Repeat("x", maxValue+1)},
 	} {
+		c := r.dial()
 		c.send(words...)
 		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
 			t.Errorf("%.80q is answered %q, want -ERR", words, got)
 		}
+		c.send("PING") // the connection still serves
+		c.want("+PONG")
+		c.nc.Close()
 	}
-	c.send("PING") // the connection still serves
-	c.want("+PONG")
 	idle(t, "a forwarded request", b.got)
+	r.ask(func(l *loop) {
+		if len(l.requests) > 0 || l.lastID > 0 {
+			t.Error("the gateway was told of a wrong request")
+		}
+	})
+}
+
+// A client that sends nonsense as fast as it is turned away must not take the
+// CPU of the others.
+func TestConnectionEndsAfterTooManyWrongCommands(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	c := r.dial()
+	c.write(strings.Repeat(encode("GET", "x"), 1000))
+	for n := 1; ; n++ {
+		got := c.line()
+		if !strings.HasPrefix(got, "-ERR ") || n > mostWrong {
+			t.Fatalf("answer %d is %q", n, got)
+		}
+		if n == mostWrong {
+			break
+		}
+	}
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("the connection goes on")
+	}
+}
+
+// An id is new with every try. The copy of one that is open is a stranger's,
+// and the value made for the request must not go to him.
+func TestCopyOfAnOpenRequestIsTurnedAway(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c, stranger := r.dial(), r.dial()
+	c.send("Q.ASK", anyone, someID, lookup)
+	got := wait(t, "the request", b.got)
+	stranger.send("Q.ASK", anyone, someID, lookup)
+	if got := stranger.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("the copy is answered %q, want -ERR", got)
+	}
+	got.answer("v")
+	c.want("$1\r\nv")
+	stranger.send("Q.ASK", anyone, someID, lookup) // nor a moment after
+	if got := stranger.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("the late copy is answered %q, want -ERR", got)
+	}
+	idle(t, "a copy sent on", b.got)
+}
+
+func TestIDsAreForgottenAfterTheirTime(t *testing.T) {
+	r := recentIDs{span: 10}
+	for _, step := range []struct {
+		at   time.Duration
+		id   uint64
+		want bool
+	}{{0, 1, true}, {9, 1, false}, {10, 2, true}, {19, 1, false}, {20, 3, true}, {20, 2, false}, {30, 1, true}} {
+		if got := r.add(step.id, step.at); got != step.want {
+			t.Errorf("id %d at %d: new is %v, want %v", step.id, step.at, got, step.want)
+		}
+	}
+	if n := len(r.young) + len(r.older); n > 3 {
+		t.Errorf("%d ids are kept", n)
+	}
+	r.remove(3)
+	if !r.add(3, 31) {
+		t.Error("a removed id is known")
+	}
+}
+
+// Who says nothing, or half a command, would keep a descriptor for good.
+func TestSilentClientsAndHalfCommandsAreEnded(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	silent, half, asked := r.dial(), r.dial(), r.dial()
+	half.write("*2\r\n$4\r\nPI")
+	asked.send("PING")
+	asked.want("+PONG")
+	for name, c := range map[string]*fakeClient{"silent": silent, "half": half} {
+		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("%s: answer %q, want -ERR", name, got)
+		}
+		c.wantEnd()
+	}
+	asked.send("PING") // quiet for as long, but it has asked
+	asked.want("+PONG")
+	asked.write("*1\r\n$4\r\nPI")
+	if got := asked.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("half a command behind a whole one is answered %q, want -ERR", got)
+	}
+	asked.wantEnd()
 }
 
 // Frames that cannot be read end their connection after a plain error, and
-// nobody else notices. Negative and overflowing lengths make the library panic.
+// nobody else notices. What is too long is refused by its length line: waiting
+// for 60 MB that come slowly would hold the connection for as long.
 func TestBrokenFramesEndOnlyTheirConnection(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
@@ -96,7 +196,13 @@
 		"*1\r\n$-2\r\n",
 		"*1\r\n$9223372036854775807\r\nx\r\n",
 		"*1\r\n$4\r\nPINGxx\r\n",
-		"*2\r\n$4\r\nPING\r\n$100000\r\n" + strings.Repeat("x", 100000),
+		"*99\r\n",
+		"*1\n",
+		"*" + strings.Repeat("1", 20),
+		"*1\r\n$+4\r\nPING\r\n",
+		"*1\r\n$-1\r\n",
+		"*2\r\n$4\r\nPING\r\n$60000000\r\n",
+		fmt.Sprintf("*5\r\n$4\r\nQ.DO\r\n$%d\r\n", maxValue+1),
 	} {
 		c := r.dial()
 		c.send("PING")
@@ -141,7 +247,7 @@
 		c.send("PING")
 		line = c.line()
 	}
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	wait(t, "the request", b.got).answer("v")
 	c.want("$1\r\nv")
 }
@@ -151,7 +257,7 @@
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
 	c := r.dial()
-	c.send("Q.DO", anyone, someID, payment, "BODY")
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
 	got := wait(t, "the request", b.got)
 	c.nc.Close()
 	if nc := wait(t, "the end of the attempt", b.closed); nc != got.nc {
@@ -164,7 +270,7 @@
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Plans[0].CeilingRate, cfg.Choice.Plans[0].CeilingBurst = 1e-9, 1 }, b.member("b"))
 	c := r.dial()
-	c.send("Q.DO", anyone, someID, payment, "BODY")
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
 	var ms int
 	if got := c.line(); !strings.HasPrefix(got, "-BUSY ") {
 		t.Errorf("over the ceiling the answer is %q", got)
@@ -178,17 +284,19 @@
 func TestRequestsPastTheMemoryAreRefused(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
-	r.ask(func(l *loop) { l.mostHeld = 3000 })
+	r.ask(func(l *loop) { l.memory.most = 3000 })
 	c := r.dial()
 	body := strings.Repeat("x", 2000)
-	c.send("Q.DO", anyone, someID, payment, body)
+	c.send("Q.DO", anyone, newID(), payment, body)
 	first := wait(t, "the request", b.got)
-	c.send("Q.DO", anyone, someID, payment, body)
-	r.eventually("the second request to come", func(l *loop) bool { return l.lastID == 2 })
+	c.send("Q.DO", anyone, newID(), payment, body)
+	c.send("PING")
 	first.answer("v")
 	c.want("$1\r\nv")
 	c.want("-BUSY")
-	c.send("Q.DO", anyone, someID, payment, body)
+	c.want("+PONG")
+	r.eventually("the memory to be free", func(l *loop) bool { return l.memory.used.Load() == 0 })
+	c.send("Q.DO", anyone, newID(), payment, body)
 	wait(t, "a request after the first has ended", b.got).answer("w")
 	c.want("$1\r\nw")
 }
@@ -199,14 +307,14 @@
 	quiet, busy := r.dial(), r.dial()
 	quiet.send("PING")
 	quiet.want("+PONG")
-	busy.send("Q.DO", anyone, someID, payment, "BODY")
+	busy.send("Q.DO", anyone, newID(), payment, "BODY")
 	got := wait(t, "the request", b.got)
 	over := make(chan struct{})
 	r.server.late = func() { <-over }
 	r.stop()
 	quiet.wantEnd()
 	late := r.dial() // clients still come for a while
-	late.send("Q.DO", anyone, someID, payment, "BODY")
+	late.send("Q.DO", anyone, newID(), payment, "BODY")
 	second := wait(t, "a request after the stop", b.got)
 	second.answer("late")
 	late.want("$4\r\nlate")
@@ -238,7 +346,7 @@
 		r.server.mu.Unlock()
 	}
 	busy := r.dial()
-	busy.send("Q.ASK", anyone, someID, lookup)
+	busy.send("Q.ASK", anyone, newID(), lookup)
 	got := wait(t, "the request", b.got)
 	quiet := r.dial()
 	quiet.send("PING")
@@ -256,7 +364,7 @@
 	r := newRig(t, nil, b.member("b"))
 	c := r.dial()
 	asked := time.Now()
-	c.send("Q.DO", anyone, someID, strings.Replace(payment, "d=20000", "d=2000", 1), "BODY")
+	c.send("Q.DO", anyone, newID(), strings.Replace(payment, "d=20000", "d=2000", 1), "BODY")
 	got := wait(t, "the request", b.got)
 	c.want("-ERR failed")
 	if took := time.Since(asked); took < 1500*time.Millisecond {
@@ -274,7 +382,7 @@
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
 	c := r.dial()
-	c.write(encode("Q.ASK", anyone, someID, lookup) + encode("Q.ASK", anyone, someID, lookup))
+	c.write(encode("Q.ASK", anyone, newID(), lookup) + encode("Q.ASK", anyone, newID(), lookup))
 	one, two := wait(t, "a request", b.got), wait(t, "another", b.got)
 	r.ask(func(l *loop) { // the second waits for the first, so both answers find it unwritten
 		l.Fail(2)
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -15,47 +15,53 @@
 )
 
 const (
-	maxValue   = 64 << 10        // bytes of one value
-	maxMessage = maxValue + 4096 // bytes of one command or answer, the largest value among them
-)
-
-var (
-	errTooLong   = errors.New("message is too long")
-	errMalformed = errors.New("message is malformed")
+	maxValue    = 64 << 10        // bytes of one value
+	maxMessage  = maxValue + 4096 // bytes of one command or answer, the largest value among them
+	maxFigures  = 2048            // bytes of a load report or the figures on use
+	maxParts    = 16              // of a command
+	maxDigits   = 15              // of a number
+	answerParts = 3
+	mostUsed    = 10_000  // percent: no customer uses a hundred times his quota
+	mostLoad    = 100_000 // requests held, or milliseconds of service
 )
 
 // nextCommand takes the first whole command off buf; n is 0 while it is not
-// whole. The parts lie in buf.
+// whole. The parts lie in buf. What is too long is refused by its length line,
+// before any of it is waited for.
 func nextCommand(buf []byte) (args [][]byte, n int, err error) {
-	// redcon indexes out of range on negative and overflowing lengths; that
-	// must end in an error to one client, not in a crash of all.
-	defer func() {
-		if recover() != nil {
-			args, n, err = nil, 0, errMalformed
-		}
-	}()
-	if len(buf) > 0 && buf[0] != '*' {
+	if len(buf) == 0 {
+		return nil, 0, nil
+	}
+	if buf[0] != '*' {
 		return nil, 0, errMalformed
 	}
-	whole, args, _, rest, err := redcon.ReadNextCommand(buf, nil)
-	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", errMalformed, err)
+	count, at, err := length(buf)
+	if err != nil || at == 0 {
+		return nil, 0, err
+	}
+	if count < 0 || count > maxParts {
+		return nil, 0, errMalformed
 	}
-	if !whole {
-		if len(buf) >= maxMessage {
-			return nil, 0, errTooLong
+	for range count {
+		part, n, err := bulk(buf[at:], maxMessage-at)
+		if err != nil || n == 0 {
+			return nil, 0, err
 		}
-		return nil, 0, nil
+		args = append(args, part)
+		at += n
 	}
-	return args, len(buf) - len(rest), nil
+	return args, at, nil
 }
 
-// command is one request of a client, decoded.
+// command is one request of a client, decoded. All its values are in range: a
+// backend turns away what it can't use, and a customer's record must not
+// change by what is no request of his.
 type command struct {
 	args             [][]byte // as the client sent them
 	limitAt, limitTo int      // where the value of d stands in the options
 	class, plan      int
 	customer         uint64
+	name             uint64 // the client's id, new with every try
 	limit            time.Duration
 	units            float64
 	spread, first    int
@@ -81,14 +87,16 @@
 			return nil, errTooLong
 		}
 	}
-	c := &command{args: args, class: -1, plan: -1, units: 1, spread: cfg.Choice.Gateways}
+	c := &command{args: args}
 	var err error
 	if c.customer, err = parseHex(args[1]); err != nil || c.customer >= maxCustomer {
 		return nil, errors.New("bad customer")
 	}
-	if _, err = parseHex(args[2]); err != nil {
+	if c.name, err = parseHex(args[2]); err != nil {
 		return nil, errors.New("bad request id")
 	}
+	gateways := max(1, cfg.Choice.Gateways)
+	var seen option
 	options := args[optionsArg]
 	for at := 0; at <= len(options); {
 		end := len(options)
@@ -99,28 +107,41 @@
 		if !ok {
 			return nil, errors.New("bad options")
 		}
-		switch name {
-		case "c":
+		is := optionNames[name]
+		if seen&is != 0 { // which of the two would a backend believe?
+			return nil, fmt.Errorf("%s stands twice", name)
+		}
+		seen |= is
+		switch is {
+		case optClass:
 			if c.class, ok = cfg.classes[value]; !ok {
 				return nil, errors.New("unknown class")
 			}
-		case "t":
+		case optPlan:
 			if c.plan, ok = cfg.plans[value]; !ok {
 				return nil, errors.New("unknown plan")
 			}
-		case "d":
+		case optLimit:
 			var ms float64
-			ms, err = parseNumber(value)
+			ms, err = parseDecimal(value)
+			if err == nil && ms < 1 {
+				err = errMalformed
+			}
 			c.limit = time.Duration(min(ms, math.MaxInt32) * float64(time.Millisecond))
 			c.limitAt, c.limitTo = at+len("d="), end
-		case "units":
-			c.units, err = parseNumber(value)
-		case "spread":
-			c.spread, err = strconv.Atoi(value)
-		case "first":
-			c.first, err = strconv.Atoi(value)
-		case "r":
-			c.repeat = value == "1"
+		case optUnits:
+			c.units, err = parseDecimal(value)
+			if most := cfg.Choice.MaxUnits; err == nil && (c.units <= 0 || most > 0 && c.units > most) {
+				err = errMalformed
+			}
+		case optSpread:
+			c.spread, err = parseCount(value, 1, gateways)
+		case optFirst:
+			c.first, err = parseCount(value, 0, gateways-1)
+		case optRepeat:
+			var r int
+			r, err = parseCount(value, 0, 1)
+			c.repeat = r == 1
 		}
 		if err != nil {
 			return nil, fmt.Errorf("bad value of %s", name)
@@ -128,14 +149,32 @@
 		at = end + 1
 	}
 	switch {
-	case c.class < 0 || c.plan < 0 || c.limitAt == 0:
-		return nil, errors.New("class, plan or time limit is missing")
+	case seen&optNeeded != optNeeded:
+		return nil, errors.New("class, plan, time limit, units or set is missing")
 	case ask != (cfg.Choice.Classes[c.class].Effect == choice.Free):
 		return nil, errors.New("the command does not serve this class")
 	}
 	return c, nil
 }
 
+// option is one of the names in a request's options, as a bit.
+type option uint
+
+const (
+	optClass option = 1 << iota
+	optPlan
+	optLimit
+	optUnits
+	optSpread
+	optFirst
+	optRepeat
+
+	optNeeded = optRepeat - 1
+)
+
+var optionNames = map[string]option{"c": optClass, "t": optPlan, "d": optLimit, "units": optUnits,
+	"spread": optSpread, "first": optFirst, "r": optRepeat}
+
 // equalFold compares a command's name, which may be written in any case.
 func equalFold(a []byte, name string) bool { return strings.EqualFold(string(a), name) }
 
@@ -146,14 +185,37 @@
 	return strconv.ParseUint(string(b), 16, 64)
 }
 
-func parseNumber(s string) (float64, error) {
-	v, err := strconv.ParseFloat(s, 64)
-	if err == nil && !(v >= 0 && v <= math.MaxFloat32) {
+// parseDecimal reads digits with at most one point inside, and nothing else
+// that a float could be: no sign, exponent, infinity, hexadecimal or underscore.
+func parseDecimal(s string) (float64, error) {
+	whole, part, point := strings.Cut(s, ".")
+	if len(s) > maxDigits || !digits(whole) || point && !digits(part) {
+		return 0, errMalformed
+	}
+	return strconv.ParseFloat(s, 64)
+}
+
+// parseCount reads a whole number from least to most.
+func parseCount(s string, least, most int) (int, error) {
+	if len(s) > maxDigits || !digits(s) {
+		return 0, errMalformed
+	}
+	v, err := strconv.Atoi(s)
+	if err == nil && (v < least || v > most) {
 		err = errMalformed
 	}
 	return v, err
 }
 
+func digits(s string) bool {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return false
+		}
+	}
+	return len(s) > 0
+}
+
 // appendTo appends the command for a backend: as the client sent it, with the
 // time that the ingress will wait.
 func (c *command) appendTo(b []byte, wait time.Duration) []byte {
@@ -180,85 +242,116 @@
 }
 
 // nextReply takes the first whole answer off buf; n is 0 while it is not
-// whole. The value is a copy.
+// whole. An error tells that it can never be read: waiting for more would hold
+// the request until its time is up. The value is a copy.
 func (cfg *Config) nextReply(buf []byte) (r reply, n int, err error) {
-	defer func() { // as in nextCommand
-		if recover() != nil {
-			n, err = 0, errMalformed
-		}
-	}()
-	n, resp := redcon.ReadNextRESP(buf)
-	if n == 0 {
-		if len(buf) >= maxMessage {
-			return r, 0, errTooLong
-		}
+	r.status = choice.Error
+	if len(buf) == 0 {
 		return r, 0, nil
 	}
-	r.status = choice.Error
-	switch resp.Type {
-	case redcon.Array:
-		for i, item := range elements(resp) {
-			if item.Type != redcon.Bulk || item.Raw[1] == '-' {
-				continue // a null: no such figure
-			}
-			if i == 0 {
-				r.status = choice.OK
-				r.value = bytes.Clone(item.Raw)
-			} else {
-				cfg.note(&r, item.Data)
-			}
-		}
-	case redcon.Bulk: // the answer to a probe
-		if resp.Raw[1] != '-' {
+	switch buf[0] {
+	case '*':
+		return cfg.served(buf)
+	case '$': // the answer to a probe
+		data, n, err := bulkOrNull(buf, maxFigures)
+		if n > 0 && data != nil {
 			r.status = choice.OK
-			cfg.note(&r, resp.Data)
+			cfg.note(&r, data)
 		}
-	case redcon.Error:
-		words := bytes.Fields(resp.Data)
-		for i, word := range words {
-			if i == 0 && string(word) == "BUSY" {
-				r.status = choice.Refused
-			}
+		return r, n, err
+	case '-':
+		text, n, err := line(buf)
+		if n == 0 || err != nil {
+			return r, 0, err
+		}
+		words := bytes.Fields(text)
+		// A line that is spoilt proves nothing, whatever it begins with.
+		if len(words) > 0 && string(words[0]) == "BUSY" && printable(text) {
+			r.status = choice.Refused
+		}
+		for _, word := range words {
 			cfg.note(&r, word)
 		}
+		return r, n, nil
+	case '+', ':':
+		_, n, err := line(buf)
+		return r, n, err
 	}
-	return r, n, nil
+	return r, 0, errMalformed
 }
 
-func elements(array redcon.RESP) (items []redcon.RESP) {
-	array.ForEach(func(item redcon.RESP) bool {
-		items = append(items, item)
-		return true
-	})
-	return items
+// served takes an answer with a value: the value, the figures on use and the
+// load report. The latter two may be null, and are left out if they can't be
+// read; the value is as good without them.
+func (cfg *Config) served(buf []byte) (r reply, n int, err error) {
+	r.status = choice.Error
+	count, n, err := length(buf)
+	if err != nil || n == 0 {
+		return r, 0, err
+	}
+	if count != answerParts {
+		return r, 0, errMalformed
+	}
+	value, used, err := bulkOrNull(buf[n:], maxValue)
+	if err != nil || used == 0 {
+		return r, 0, err
+	}
+	whole := buf[n : n+used]
+	for n += used; count > 1; count-- {
+		var figures []byte
+		if n < len(buf) && bytes.IndexByte([]byte("+-:"), buf[n]) >= 0 {
+			_, used, err = line(buf[n:])
+		} else {
+			figures, used, err = bulkOrNull(buf[n:], maxFigures)
+		}
+		if err != nil || used == 0 {
+			return r, 0, err
+		}
+		cfg.note(&r, figures)
+		n += used
+	}
+	if value != nil {
+		r.status, r.value = choice.OK, bytes.Clone(whole)
+	}
+	return r, n, nil
 }
 
-// note takes figures such as used=37 or inflight=7,queue=2 into r. Other words
-// are passed over.
+// note takes figures such as used=37 or inflight=7,latency_ms=12 into r. Those
+// that can't be read, or are beyond reason, are left out with all that stands
+// beside them: what is spoilt in one place is not to be believed in another.
 func (cfg *Config) note(r *reply, word []byte) {
 	if bytes.IndexByte(word, '=') < 0 {
 		return
 	}
-	var load choice.Load
-	found := 0
+	var got reply
+	var fields uint
 	for pair := range strings.SplitSeq(string(word), ",") {
 		name, text, _ := strings.Cut(pair, "=")
-		value, err := parseNumber(text)
+		value, err := parseDecimal(text)
 		if err != nil {
-			continue
+			return
 		}
 		if name == "used" {
-			r.metered, r.used = true, value/100
+			if got.metered || value > mostUsed {
+				return
+			}
+			got.metered, got.used = true, value/100
 		}
 		for i, field := range cfg.Choice.ReportFields {
-			if field == name && i < len(load.Values) {
-				load.Values[i] = value
-				found++
+			if field == name && i < len(got.load.Values) {
+				if fields&(1<<i) != 0 || value > mostLoad {
+					return
+				}
+				fields |= 1 << i
+				got.load.Values[i] = value
 			}
 		}
 	}
-	if found > 0 {
-		load.N = min(len(cfg.Choice.ReportFields), len(load.Values))
-		r.load = load
+	if got.metered {
+		r.metered, r.used = true, got.used
+	}
+	if n := min(len(cfg.Choice.ReportFields), len(got.load.Values)); n > 0 && fields == 1<<n-1 {
+		got.load.N = n
+		r.load = got.load
 	}
 }
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -27,7 +27,7 @@
 		t.Errorf("the watch begins at %s, want the list's 7", index)
 	}
 	c := r.dial()
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	first := wait(t, "the request", one.got)
 	first.answer("v")
 	c.want("$1\r\nv")
@@ -39,7 +39,7 @@
 		t.Error("another connection ended")
 	}
 	for range 5 {
-		c.send("Q.DO", anyone, someID, payment, "BODY")
+		c.send("Q.DO", anyone, newID(), payment, "BODY")
 		wait(t, "the request at the new backend", two.got).answer("w")
 		c.want("$1\r\nw")
 	}
@@ -50,7 +50,7 @@
 	}
 	r.discovery.lines <- fmt.Sprintf(`{"revision":9,"complete":true,"members":[{"id":"1","host_port":%q,"phase":"SERVING","size":1}]}`, one.addr)
 	r.eventually("the missing backend to go", func(l *loop) bool { return len(l.pool.byName) == 1 })
-	c.send("Q.DO", anyone, someID, payment, "BODY")
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
 	wait(t, "the request at the first backend", one.got).answer("x")
 	c.want("$1\r\nx")
 	r.discovery.lines <- `{"revision":10,"complete":false,"members":[{"id":"1","phase":"DELETED"}]}`
@@ -107,7 +107,7 @@
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, one.member("1"))
 	wait(t, "a watch", r.discovery.watched)
 	c := r.dial()
-	c.send("Q.ASK", anyone, someID, lookup)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	first := wait(t, "the request", one.got)
 
 	silent := newFakeDiscovery(t) // tells nothing: the old address stays in force
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,9 @@
 	someID  = "9b1f03aa5c7e2d41"
 )
 
+// newID is the id of a new try.
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 const settings = `{"balancers":1,"self_index":0,"zone":0,"zones":["a"],"kinds":["std"],"tick_ms":2,"discovery":"push",
  "bounds":{"cancelling":true,"conn_idle_ms":%d,"connect_timeout_ms":5000,"max_retry_after_ms":1000,"probing":true,
   "retry_after":true,"second_copies":false,"try_limit":4},
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -17,7 +17,8 @@
 	answerMargin = 15 * time.Millisecond
 	marginPart   = 10 // at most this part of the time is kept back
 	probeTimeout = 250 * time.Millisecond
-	heldShare    = 6 // bodies of open requests may take this part of the memory
+	heldShare    = 6           // what is held for clients may take this part of the memory
+	idsMargin    = time.Second // ids are known for so long beyond the longest time of a request
 )
 
 // An event is something that happened, told to the goroutine that owns the gateway.
@@ -36,8 +37,8 @@
 	pool     *pool
 	requests map[uint32]*request
 	lastID   uint32
-	held     int // bytes of the open requests
-	mostHeld int
+	ids      recentIDs
+	memory   *memory
 }
 
 // request is one try of a client, from its last byte to its final answer and
@@ -57,8 +58,13 @@
 func newLoop(cfg *Config) (*loop, error) {
 	l := &loop{
 		cfg: cfg, start: time.Now(), events: make(chan event, eventBuffer), done: make(chan struct{}),
-		requests: map[uint32]*request{}, mostHeld: cfg.Limits.MemoryMB << 20 / heldShare,
+		requests: map[uint32]*request{}, memory: &memory{most: int64(cfg.Limits.MemoryMB) << 20 / heldShare},
 	}
+	longest := time.Duration(0)
+	for _, c := range cfg.Choice.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	l.ids.span = longest + idsMargin
 	l.pool = newPool(cfg,
 		func(a *attempt, r reply, elapsed time.Duration, c *conn) {
 			l.post(func(l *loop) { l.ended(a, r, elapsed, c) })
@@ -103,10 +109,11 @@
 	}
 	r.id = l.lastID
 	l.requests[r.id] = r
-	l.held += r.size
 	now := l.now()
-	if l.held > l.mostHeld {
-		l.Refuse(r.id, 0) // nothing has run; holding more would end the whole process
+	if !l.ids.add(r.name, now) {
+		// The copy of another's open request: its value belongs to that one alone.
+		r.from.wrong.Add(1)
+		l.answer(r, redcon.AppendError(nil, "ERR the request id is in use"))
 		l.forget(r)
 		return
 	}
@@ -117,11 +124,36 @@
 	l.forget(r)
 }
 
+// recentIDs knows the clients' ids for a span at least, and for two at most.
+type recentIDs struct {
+	span         time.Duration
+	turned       time.Duration
+	young, older map[uint64]struct{}
+}
+
+// add returns false if the id is known.
+func (r *recentIDs) add(id uint64, now time.Duration) bool {
+	if r.young == nil || now-r.turned >= r.span {
+		r.older, r.young, r.turned = r.young, map[uint64]struct{}{}, now
+	}
+	if _, known := r.older[id]; known {
+		return false
+	}
+	n := len(r.young)
+	r.young[id] = struct{}{}
+	return len(r.young) > n
+}
+
+func (r *recentIDs) remove(id uint64) {
+	delete(r.young, id)
+	delete(r.older, id)
+}
+
 // forget drops a request that is over and has nothing out.
 func (l *loop) forget(r *request) {
 	if r.over && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
-		l.held -= r.size
+		l.memory.give(r.size)
 	}
 }
 
@@ -130,6 +162,9 @@
 	for _, r := range c.abandoned() {
 		if !r.over {
 			r.over = true
+			if len(r.attempts) == 0 {
+				l.ids.remove(r.name) // nothing was sent on: it may come again
+			}
 			l.gateway.Gone(l.now(), r.id)
 			l.forget(r)
 		}
