--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -18,6 +19,14 @@
 const (
 	readBuffer = 4 << 10
 	idleShare  = 0.6 // of the time after which a backend closes an idle connection
+	// reuseRest is how long a connection rests after an answer. A second copy of
+	// it, or noise, may come behind, and nothing in an answer tells whose it is:
+	// given to the next request at once, that one would be served with it. The
+	// longest rested is taken first, and looked at once more (quiet).
+	reuseRest = 25 * time.Millisecond
+	// answerStall is how long an answer that has begun may stay without its
+	// end, twice: a read that was late itself must not count.
+	answerStall = 150 * time.Millisecond
 )
 
 // longAgo is a deadline that wakes whatever waits on a connection.
@@ -39,7 +48,7 @@
 type backend struct {
 	id      uint32
 	addr    string
-	idle    []*conn     // the most recently used last
+	idle    []*conn     // the most recently used last, and taken last
 	stopped atomic.Bool // told to be draining or gone
 }
 
@@ -117,16 +126,23 @@
 		a.to = &backend{id: id}
 		a.to.stopped.Store(true)
 	}
-	var c *conn
-	if n := len(a.to.idle); n > 0 {
-		c = a.to.idle[n-1]
-		a.to.idle = a.to.idle[:n-1]
-	} else if p.open.Load() >= int64(p.cfg.Limits.backends()) {
+	c := p.rested(a.to)
+	if c == nil && p.open.Load() >= int64(p.cfg.Limits.backends()) {
 		p.evict()
 	}
 	go a.run(c)
 }
 
+// rested takes the connection that has been idle for longest, if it has rested.
+func (p *pool) rested(b *backend) *conn {
+	if len(b.idle) == 0 || time.Since(b.idle[0].rested) < reuseRest {
+		return nil
+	}
+	c := b.idle[0]
+	b.idle = slices.Delete(b.idle, 0, 1)
+	return c
+}
+
 // evict closes one idle connection to make room for another backend's.
 func (p *pool) evict() {
 	for _, b := range p.byID {
@@ -144,6 +160,7 @@
 		c.retire()
 		return
 	}
+	c.rested = time.Now()
 	c.to.idle = append(c.to.idle, c)
 }
 
@@ -245,6 +262,9 @@
 	to   *backend
 	pool *pool
 
+	rested time.Time // when it carried its last answer; the loop's
+	stalls int       // deadlines that the answer now coming has passed; only the reader's
+
 	mu      sync.Mutex
 	current *attempt
 	dead    bool
@@ -257,8 +277,9 @@
 // before the first byte; else the reader ends the attempt.
 func (c *conn) send(a *attempt) bool {
 	c.mu.Lock()
-	if c.dead {
+	if c.dead || !c.quiet() {
 		c.mu.Unlock()
+		c.retire()
 		return false
 	}
 	c.current = a
@@ -284,6 +305,39 @@
 	return true
 }
 
+// quiet tells that nothing waits to be read. The reader of an idle connection
+// may not have seen yet what came a moment ago, an end or a second copy of the
+// last answer; written to such a connection, a payment would be lost.
+func (c *conn) quiet() bool {
+	sys, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
+}
+
+// stall limits the wait for the rest of an answer that has begun.
+func (c *conn) stall(a *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.aborted {
+		return
+	}
+	until := time.Now().Add(answerStall)
+	if until.After(a.deadline) {
+		until = a.deadline
+	}
+	c.nc.SetReadDeadline(until)
+}
+
 // read takes the answers until the connection ends, and ends each attempt. It
 // also notices when an idle connection closes or has been idle for too long.
 func (c *conn) read() {
@@ -303,10 +357,7 @@
 		<-a.wrote // an answer may be here before the writer has gone on
 		if n > 0 {
 			answer, used, bad := c.pool.cfg.nextReply(buf)
-			switch {
-			case bad != nil:
-				err = bad
-			case used > 0:
+			if bad == nil && used > 0 {
 				if err == nil && a.whole && used == len(buf) && c.release(a) {
 					buf = buf[:0]
 					if cap(buf) > readBuffer {
@@ -318,16 +369,33 @@
 				c.close()
 				a.end(answer, nil)
 				return
-			case len(buf) == cap(buf):
+			}
+			if bad != nil {
+				err = bad
+			} else if len(buf) == cap(buf) {
 				buf = slices.Grow(buf, len(buf))
 			}
 		}
 		if err == nil {
+			if c.stalls == 0 {
+				c.stalls = 1
+				c.stall(a)
+			}
 			continue
 		}
 		status := a.broken(err)
 		if status == choice.OK {
-			continue
+			if c.stalls == 0 {
+				continue
+			}
+			if c.stalls == 1 {
+				c.stalls = 2
+				c.stall(a)
+				continue
+			}
+			// It has the request and will not say more of it: the client's time
+			// is worth more than the hope for the rest.
+			status = choice.Error
 		}
 		// Closed before the outcome is told: a second attempt must not overlap.
 		c.close()
@@ -346,6 +414,8 @@
 		return choice.ConnectFailed // the last byte was not written: it never ran
 	case a.aborted:
 		return choice.Cancelled
+	case errors.Is(err, errMalformed), errors.Is(err, errTooLong):
+		return choice.Error // the backend lives and has run it
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return choice.Reset
 	case time.Now().Before(a.deadline):
@@ -363,6 +433,7 @@
 	if a.aborted {
 		return false
 	}
+	c.stalls = 0
 	// Well before the backend closes it: a request written to a connection
 	// that the backend has closed ends as a reset, which an unsafe request
 	// cannot repeat.
--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -81,7 +81,11 @@
 		received.reset,
 		func(got received) { got.nc.Close() },
 		func(got received) { got.line("-ERR failed") },
-		func(got received) { got.line("$x"); got.nc.Close() },
+		// What can't be read ends at once, though the connection stays open.
+		func(got received) { got.line("$x") },
+		func(got received) { got.line("*3\r\n$3000000000") },
+		func(got received) { got.line("-BUSY \x01") },
+		func(got received) { got.nc.Write([]byte("*3\r\n$9\r\nhalf")) },
 		func(got received) { got.nc.Write([]byte("*3\r\n$9\r\nhal")); got.nc.Close() },
 	} {
 		c := r.dial()
@@ -136,6 +140,21 @@
 	}
 }
 
+// rest waits until so many connections are idle and lets them have rested.
+func (r *rig) rest(connections int) {
+	r.Helper()
+	r.eventually("the connections to be idle", func(l *loop) bool {
+		n := 0
+		for _, b := range l.pool.byID {
+			for _, c := range b.idle {
+				c.rested = c.rested.Add(-reuseRest)
+				n++
+			}
+		}
+		return n == connections
+	})
+}
+
 // Answers come in order, so a second request on a busy connection would wait;
 // an idle one is used again.
 func TestConnectionsCarryOneRequestAtATimeAndAreUsedAgain(t *testing.T) {
@@ -151,6 +170,7 @@
 	two.answer("v")
 	c.want("$1\r\nv")
 	c.want("$1\r\nv")
+	r.rest(2)
 	c.send("Q.ASK", anyone, newID(), lookup)
 	if three := wait(t, "a third", b.got); three.nc != one.nc && three.nc != two.nc {
 		t.Error("a new connection though two are idle")
@@ -390,3 +410,54 @@
 		}
 	}
 }
+
+// A second copy of an answer, or noise, may come behind it. Nothing tells whose
+// an answer is, so the next request must not be on that connection by then.
+func TestConnectionRestsBeforeItIsUsedAgain(t *testing.T) {
+	b := newBench(t)
+	p := b.pool
+	p.byID[b.to.id] = b.to
+	other := &conn{nc: b.nc, to: b.to, pool: p}
+	p.put(b.conn)
+	p.put(other)
+	if c := p.rested(b.to); c != nil {
+		t.Error("a connection is used again at once")
+	}
+	for _, c := range b.to.idle {
+		c.rested = c.rested.Add(-reuseRest)
+	}
+	if c := p.rested(b.to); c != b.conn {
+		t.Error("the longest rested one is not taken first")
+	}
+	if len(b.to.idle) != 1 || b.to.idle[0] != other {
+		t.Errorf("%d connections are idle, want the other one", len(b.to.idle))
+	}
+}
+
+// What has come already is seen before the first byte of the next request,
+// which then goes elsewhere unharmed.
+func TestConnectionWithBytesLeftOverIsNotUsedAgain(t *testing.T) {
+	b := newBench(t)
+	fmt.Fprint(b.far, "noise")
+	for b.quiet() { // until it has come
+		time.Sleep(time.Millisecond)
+	}
+	if b.send(b.attempt(t)) {
+		t.Error("the connection is used")
+	}
+	b.read()
+	if err := b.nc.SetDeadline(time.Time{}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the connection is open: %v", err)
+	}
+}
+
+// An answer read late, in two parts, is whole all the same.
+func TestSlowAnswerIsTakenWhole(t *testing.T) {
+	b := newBench(t)
+	a := b.attempt(t)
+	b.send(a)
+	go b.read()
+	fmt.Fprint(b.far, "*3\r\n$1\r\n")
+	fmt.Fprint(b.far, "v\r\n$-1\r\n$-1\r\n")
+	b.want(t, choice.OK)
+}
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -126,7 +126,8 @@
 	r.eventually("the new list to be in force", func(l *loop) bool { return len(l.pool.byName) == 1 })
 	first.answer("v")
 	c.want("$1\r\nv")
-	c.send("Q.ASK", anyone, "9b1f03aa5c7e2d42", lookup)
+	r.rest(1)
+	c.send("Q.ASK", anyone, newID(), lookup)
 	if again := wait(t, "a further request", one.got); again.nc != first.nc {
 		t.Error("the connection to the backend was not kept")
 	} else {
