Keep a record for each plan named, halve what a customer keeps, drop a backend whose address is taken

By reading: Gateway.customer replaced the record of a usual customer, ceiling and all, when a request in his name told another plan; it has a record of its own now. A customer's slots held four float64 each, 2 KB for 30 s after one request; they are float32, 1 KB (units are whole and small, nothing else is decided by them to more digits). loop.members let two ids serve at one address while discovery had not noticed that one had gone: what was sent to the old id would reach the new process, cold and uncounted. The later start wins, the other counts as gone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -80,7 +80,7 @@
 	now       time.Duration
 	born      time.Duration
 	slot      time.Duration // length of a slot of own history
-	customers map[uint64]*customer
+	customers map[account]*customer
 	requests  map[uint32]*request
 	backends  map[uint32]*backend
 	fleet     []*backend // the ready ones in order of arrival, for results that do not hang on map order
@@ -117,6 +117,12 @@
 	mean float64 // mean latency of good answers, seconds
 }
 
+// account is what a record is kept for.
+type account struct {
+	customer uint64
+	plan     int
+}
+
 type customer struct {
 	plan     *Plan
 	spread   float64
@@ -140,9 +146,16 @@
 }
 
 // slotUse is what this gateway did with a customer's requests in one slot.
+// A customer has many, so they are kept small.
 type slotUse struct {
+	offered, passed float32 // units
+	chance, met     float32 // sum of the chance held and of those that requests met; how many they are
+}
+
+// useSum is what several slots come to.
+type useSum struct {
 	offered, passed float64 // units
-	chance, met     float64 // sum of the chance held and of those that requests met; how many they are
+	chance          float64 // mean
 }
 
 type request struct {
@@ -207,7 +220,7 @@
 	g := &Gateway{
 		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))), now: now, born: now,
 		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
-		customers: map[uint64]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
+		customers: map[account]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
 		zones:   map[int]float64{},
 		classes: make([]classSeen, len(cfg.Classes)), bank: retryBank / 2, opened: 1, clear: 1,
 		inflight: slices.Index(cfg.ReportFields, "inflight"),
@@ -251,26 +264,26 @@
 	}
 }
 
+// customer finds the record of a customer under the plan that the request names. A request that names another
+// plan gets a record of its own: it must not clear what is known of the customer, his ceiling above all.
 func (g *Gateway) customer(in Request) *customer {
-	c := g.customers[in.Customer]
-	if c == nil || c.plan != &g.cfg.Plans[in.Plan] {
+	key := account{in.Customer, in.Plan}
+	c := g.customers[key]
+	if c == nil {
 		p := &g.cfg.Plans[in.Plan]
 		// The part of the ceiling begins empty when the gateway starts, since one before it may have drawn
 		// all of it; it fills from then on whether the customer is known or not.
-		ceilAt := g.born
-		if c != nil {
-			ceilAt = g.now
-		}
 		c = &customer{plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
-			ceilAt: ceilAt, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
+			ceilAt: g.born, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
 		if p.Rate <= 0 {
 			c.mean = startUse
 		}
 		c.head = g.slotOf(g.now)
 		for i := range c.slots {
-			c.slots[i] = slotUse{chance: g.clear, met: 1} // before it was known, only pressure refused
+			// Before it was known, only pressure refused.
+			c.slots[i] = slotUse{chance: float32(g.clear), met: 1}
 		}
-		g.customers[in.Customer] = c
+		g.customers[key] = c
 	}
 	c.spread = float64(min(max(in.Spread, 1), g.cfg.Gateways))
 	c.last = g.now
@@ -303,13 +316,13 @@
 		}
 	}
 	s := &c.slots[c.head%slotsKept]
-	s.offered += u
-	s.chance += chance
+	s.offered += float32(u)
+	s.chance += float32(chance)
 	s.met++
 	if chance < 1 && g.rng.Float64() >= chance {
 		return false
 	}
-	s.passed += u
+	s.passed += float32(u)
 	return true
 }
 
@@ -339,9 +352,9 @@
 		level, k = most, c.head-slotsKept+1
 	}
 	for ; k < c.head; k++ {
-		level = min(level-c.slots[k%slotsKept].passed+fill, most)
+		level = min(level-float64(c.slots[k%slotsKept].passed)+fill, most)
 	}
-	return level - c.slots[k%slotsKept].passed
+	return level - float64(c.slots[k%slotsKept].passed)
 }
 
 // slotOf numbers the slots of own history; all that is asked for are above 0.
@@ -355,26 +368,26 @@
 	}
 	for c.head < n {
 		c.head++
-		c.slots[c.head%slotsKept] = slotUse{chance: g.clear * min(1, c.chance), met: 1}
+		c.slots[c.head%slotsKept] = slotUse{chance: float32(g.clear * min(1, c.chance)), met: 1}
 	}
 }
 
 // window adds up own history between two times, by whole slots.
-func (g *Gateway) window(c *customer, from, to time.Duration) (sum slotUse) {
+func (g *Gateway) window(c *customer, from, to time.Duration) (sum useSum) {
 	lo := min(max(g.slotOf(from), c.head-slotsKept+1), c.head)
 	n := 0.0
 	for k := lo; k < min(g.slotOf(to), c.head+1); k++ {
 		s := &c.slots[k%slotsKept]
-		sum.offered += s.offered
-		sum.passed += s.passed
-		sum.chance += s.chance / s.met
+		sum.offered += float64(s.offered)
+		sum.passed += float64(s.passed)
+		sum.chance += float64(s.chance / s.met)
 		n++
 	}
 	if n > 0 {
 		sum.chance /= n
 	} else {
 		s := &c.slots[lo%slotsKept]
-		sum.chance = s.chance / s.met
+		sum.chance = float64(s.chance / s.met)
 	}
 	return
 }
@@ -403,7 +416,7 @@
 	for j := range m.misfit {
 		own := 0.0
 		for k := max(top-int64(j)-slotsPeriod, c.head-slotsKept+1); k < min(top-int64(j), c.head+1); k++ {
-			own += c.slots[k%slotsKept].passed
+			own += float64(c.slots[k%slotsKept].passed)
 		}
 		m.misfit[j] += w * ((use-own)*(use-own)/(use+1) - m.misfit[j])
 		if m.misfit[j] < m.misfit[best] {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -510,6 +510,25 @@
 	}
 }
 
+// A request in a customer's name that names another plan, by mistake or by
+// malice, must not clear what is known of him.
+func TestOtherPlanLeavesTheCustomersRecord(t *testing.T) {
+	cfg := plain()
+	cfg.Plans = []choice.Plan{
+		{Rate: 100, Burst: 100, CeilingRate: 0.5, CeilingBurst: 40, Price: 1}, {Rate: 100, Burst: 100, Price: 1}}
+	g, rec := open(t, cfg, backends(4))
+	now, passed := 200*time.Second, 0 // the ceiling's part of 40 has filled
+	for id := range uint32(60) {
+		ask(g, rec, now, choice.Request{ID: 1000 + id, Customer: 1, Plan: 1, Spread: 1}, -1)
+		if ask(g, rec, now, choice.Request{ID: id, Customer: 1, Spread: 1}, -1) {
+			passed++
+		}
+	}
+	if passed != 40 {
+		t.Errorf("%d passed beside another plan's requests, want the part of 40", passed)
+	}
+}
+
 // Before any latency is learned, many gateways must not let out more together
 // than the fleet works well with.
 func TestFirstWindowIsSharedByTheGateways(t *testing.T) {
--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -47,7 +47,9 @@
 
 type backend struct {
 	id      uint32
+	name    string // discovery's id
 	addr    string
+	since   int64       // when it last started, as discovery tells it
 	idle    []*conn     // the most recently used last, and taken last
 	stopped atomic.Bool // told to be draining or gone
 }
@@ -65,17 +67,18 @@
 	b := p.byName[m.ID]
 	if b == nil {
 		p.lastID++
-		b = &backend{id: p.lastID, addr: m.HostPort}
+		b = &backend{id: p.lastID, name: m.ID, addr: m.HostPort}
 		p.byName[m.ID], p.byID[b.id] = b, b
 	}
 	if b.addr != m.HostPort && m.HostPort != "" {
 		b.retire()
 		// Attempts under way read the address: it moves to a new record.
-		moved := &backend{id: b.id, addr: m.HostPort}
+		moved := &backend{id: b.id, name: m.ID, addr: m.HostPort}
 		b.stopped.Store(true)
 		p.byName[m.ID], p.byID[b.id] = moved, moved
 		b = moved
 	}
+	b.since = m.UpSince
 	b.stopped.Store(state != choice.Ready)
 	if state != choice.Ready {
 		b.retire()
@@ -87,6 +90,17 @@
 	return b.id
 }
 
+// sharing returns another backend at the address of m, which serves as far as
+// discovery has told.
+func (p *pool) sharing(m member) *backend {
+	for name, b := range p.byName {
+		if name != m.ID && b.addr == m.HostPort && !b.stopped.Load() {
+			return b
+		}
+	}
+	return nil
+}
+
 // keep drops all backends that a complete list does not name.
 func (p *pool) keep(named map[string]bool) {
 	for name, b := range p.byName {
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"curlewsail/choice"
 )
 
 // eventually waits until something holds of the loop.
@@ -157,3 +159,34 @@
 		t.Errorf("revisions %v are handed on, want [1 2 3]", revisions)
 	}
 }
+
+// A new backend may come to the address of one that is gone before discovery
+// tells of that one's end. The two share nothing: neither connections nor warmth.
+func TestBackendAtAnAddressTakenOverIsNew(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("old"))
+	wait(t, "a watch", r.discovery.watched)
+	c := r.dial()
+	c.send("Q.ASK", anyone, newID(), lookup)
+	first := wait(t, "the request", b.got)
+	first.answer("v")
+	c.want("$1\r\nv")
+	r.rest(1)
+	r.discovery.lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"new","host_port":%q,"phase":"SERVING","size":1,"up_since_ms":%d}]}`,
+		b.addr, time.Now().UnixMilli())
+	if nc := wait(t, "the end of the old one's connection", b.closed); nc != first.nc {
+		t.Error("another connection ended")
+	}
+	for range 2 { // the full list may name the old one once more
+		r.ask(func(l *loop) {
+			if len(l.pool.byName) != 1 || l.pool.byName["new"] == nil || l.pool.byName["new"].id == 1 {
+				t.Errorf("the backends are %v, want the new one alone under an id of its own", l.pool.byName)
+			}
+			l.members(choice.Full, memberList{Complete: true, Members: []member{
+				{ID: "new", HostPort: b.addr, Phase: phaseServing, Size: 1, UpSince: time.Now().UnixMilli()}, b.member("old")}})
+		})
+	}
+	c.send("Q.ASK", anyone, newID(), lookup)
+	wait(t, "a request at the new one", b.got).answer("w")
+	c.want("$1\r\nw")
+}
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -214,6 +214,17 @@
 		case phaseDeleted:
 			state = choice.Removed
 		}
+		// One process serves at an address. The one that started last has taken
+		// it over; the other is gone, though discovery has not noticed yet. What
+		// is sent to that one would reach the new one, cold, and not be counted.
+		if other := l.pool.sharing(m); state == choice.Ready && other != nil {
+			if other.since > m.UpSince {
+				state = choice.Removed
+			} else {
+				backends = append(backends, choice.Backend{
+					ID: l.pool.member(member{ID: other.name, HostPort: other.addr}, choice.Removed), State: choice.Removed})
+			}
+		}
 		named[m.ID] = true
 		b := choice.Backend{
 			ID: l.pool.member(m, state), Zone: index(l.cfg.zones, m.Locality), Kind: index(l.cfg.kinds, m.Flavor),
