End the attempt on a new connection that ends at once; let last answers go out

On a new one that a full backend ends at once the attempt had no outcome, so its request would have been lost. It ends as never run. - client.take took "the connection accepts no further command" for "the client is gone": a command that crossed the end of a drained connection closed it under the answer being written. The reader waits for the writer now (client.finish), and a connection whose writer is at work is not closed to make room.

Each has a test that fails without its fix. The memory test of mine depended on the order of two goroutines on one core, and waits for the event now.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -227,8 +227,17 @@
 		a.end(reply{status: choice.ConnectFailed}, nil)
 		return
 	}
-	c = &conn{nc: nc, to: a.to, pool: a.pool}
-	c.send(a)
+	a.carry(&conn{nc: nc, to: a.to, pool: a.pool})
+}
+
+// carry carries the attempt out on a new connection. A backend that takes no
+// more connections may end it, or say so, before the first byte is written.
+func (a *attempt) carry(c *conn) {
+	if !c.send(a) {
+		c.close()
+		a.end(reply{status: choice.ConnectFailed}, nil)
+		return
+	}
 	c.read()
 }
 
--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -451,6 +451,18 @@
 	}
 }
 
+// A backend with too many connections may end a new one at once: the attempt on
+// it never ran, and must end all the same.
+func TestAttemptOnAConnectionThatEndsAtOnceNeverRan(t *testing.T) {
+	b := newBench(t)
+	b.far.Close()
+	for b.quiet() { // until its end has come
+		time.Sleep(time.Millisecond)
+	}
+	go b.attempt(t).carry(b.conn)
+	b.want(t, choice.ConnectFailed)
+}
+
 // An answer read late, in two parts, is whole all the same.
 func TestSlowAnswerIsTakenWhole(t *testing.T) {
 	b := newBench(t)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -28,7 +28,8 @@
 	errHalf     = errors.New("the command did not become whole in time")
 	errWrong    = errors.New("too many wrong commands")
 	errNoMemory = errors.New("no memory is left for the command")
-	errLeft     = errors.New("the client is gone, or is to go")
+	errEnds     = errors.New("the connection takes no further command")
+	errLeft     = errors.New("the client is gone")
 )
 
 // slot is the place of one answer in the order of its connection.
@@ -54,6 +55,7 @@
 	used    time.Time
 	writing bool // the writer runs, or has run
 	asked   bool // has sent a request that could be taken
+	sending bool // the writer has answers that it has not written yet
 	evicted bool // closed to make room
 	closing bool // takes no further command, and ends when all is answered
 	drained bool // closes between requests
@@ -95,7 +97,7 @@
 		least = idleLeast
 	}
 	return standing{c.asked, c.used},
-		len(c.pending) == 0 && !c.closing && !c.drained && now.Sub(c.used) >= least
+		len(c.pending) == 0 && !c.sending && !c.closing && !c.drained && now.Sub(c.used) >= least
 }
 
 // evict closes the connection at once. A command that crosses this counts as
@@ -176,16 +178,11 @@
 
 // read takes commands until the client leaves, or sends what can't be read.
 func (c *client) read() {
-	if err := c.take(); !errors.Is(err, errLeft) && c.refuse(err) {
-		// What follows cannot be told apart any more. It is not read while the
-		// answers still due are written, and hardly after: a client that sends
-		// on at full speed must not cost the others their CPU.
-		c.mu.Lock()
-		c.closing = true
-		c.mu.Unlock()
-		notify(c.wake)
-		<-c.written
-		io.CopyN(io.Discard, c.nc, lingerBytes)
+	if err := c.take(); !errors.Is(err, errLeft) {
+		if !errors.Is(err, errEnds) {
+			c.refuse(err)
+		}
+		c.finish()
 	}
 	c.nc.Close()
 	c.mu.Lock()
@@ -196,6 +193,21 @@
 	c.server.remove(c)
 }
 
+// finish lets the writer send the answers still due: a connection that closes
+// under them loses requests. What the client sends meanwhile is not read, and
+// hardly after: at full speed it would cost the others their CPU.
+func (c *client) finish() {
+	c.mu.Lock()
+	c.closing = true
+	due := c.writing && !c.evicted
+	c.mu.Unlock()
+	if due {
+		notify(c.wake)
+		<-c.written
+		io.CopyN(io.Discard, c.nc, lingerBytes)
+	}
+}
+
 // take starts the commands as they come.
 func (c *client) take() error {
 	buf := make([]byte, 0, readBuffer)
@@ -280,7 +292,7 @@
 		}
 		wrong, ok := c.command(args, n, at)
 		if !ok {
-			return nil, errLeft
+			return nil, errEnds
 		}
 		if wrong == nil {
 			continue
@@ -294,7 +306,7 @@
 			time.Sleep(wrongPause)
 		}
 		if !c.refuse(wrong) {
-			return nil, errLeft
+			return nil, errEnds
 		}
 	}
 	return nil, nil
@@ -366,7 +378,7 @@
 			n++
 		}
 		c.pending = c.pending[n:]
-		if n > 0 {
+		if c.sending = n > 0; c.sending {
 			c.used = time.Now()
 		}
 		empty := len(c.pending) == 0
@@ -385,11 +397,11 @@
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			_, err := c.nc.Write(out)
 			c.server.loop.memory.give(len(out))
+			c.mu.Lock()
+			c.sending, c.gone = false, c.gone || err != nil
+			c.mu.Unlock()
 			if err != nil {
 				c.nc.Close() // the reader notices
-				c.mu.Lock()
-				c.gone = true
-				c.mu.Unlock()
 				notify(c.space)
 				return
 			}
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -291,6 +292,19 @@
 	first := wait(t, "the request", b.got)
 	c.send("Q.DO", anyone, newID(), payment, body)
 	c.send("PING")
+	r.eventually("the commands to be taken", func(*loop) bool {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		for c := range r.server.clients {
+			c.mu.Lock()
+			n := len(c.pending)
+			c.mu.Unlock()
+			if n == 3 {
+				return true
+			}
+		}
+		return false
+	})
 	first.answer("v")
 	c.want("$1\r\nv")
 	c.want("-BUSY")
@@ -301,6 +315,30 @@
 	c.want("$1\r\nw")
 }
 
+// A command that crosses the end of a drained connection must not close it
+// under the answer that the writer is about to send.
+func TestCommandAtTheEndLeavesTheLastAnswerItsTime(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	c := newClient(r.server, b.nc)
+	c.writing, c.closing = true, true // the test stands in for the writer
+	go c.read()
+	fmt.Fprint(b.far, encode("PING"))
+	wait(t, "the reader to wake the writer", c.wake)
+	c.mu.Lock()
+	if c.gone {
+		t.Error("the connection closes before its last answer")
+	}
+	c.mu.Unlock()
+	fmt.Fprint(c.nc, "+last\r\n")
+	c.nc.(*net.TCPConn).CloseWrite()
+	c.nc.SetReadDeadline(longAgo)
+	close(c.written)
+	if got, err := io.ReadAll(b.far); string(got) != "+last\r\n" {
+		t.Errorf("the client gets %q, %v", got, err)
+	}
+}
+
 func TestStopAnswersWhatIsOpenAndEndsBetweenRequests(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
