--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -19,6 +19,11 @@
 const (
 	readBuffer = 4 << 10
 	idleShare  = 0.6 // of the time after which a backend closes an idle connection
+	// Kept connections may be reset at their next request, which then may have
+	// run. While more than staleMost of them are, of late, what can't be repeated
+	// goes on new ones; staleWeight is the weight of one attempt in that share.
+	staleMost   = 0.02
+	staleWeight = 0.05
 	// reuseRest is how long a connection rests after an answer. A second copy of
 	// it, or noise, may come behind, and nothing in an answer tells whose it is:
 	// given to the next request at once, that one would be served with it. The
@@ -42,6 +47,7 @@
 	byName map[string]*backend
 	byID   map[uint32]*backend
 	lastID uint32
+	stale  float64      // share of kept connections that were reset at their next request
 	open   atomic.Int64 // connections, those being dialled among them
 }
 
@@ -140,7 +146,11 @@
 		a.to = &backend{id: id}
 		a.to.stopped.Store(true)
 	}
-	c := p.rested(a.to)
+	var c *conn
+	if a.fresh = !a.repeatable && p.stale > staleMost; !a.fresh {
+		c = p.rested(a.to)
+	}
+	a.kept = c != nil
 	if c == nil && p.open.Load() >= int64(p.cfg.Limits.backends()) {
 		p.evict()
 	}
@@ -157,6 +167,18 @@
 	return c
 }
 
+// judge takes how an attempt on a kept connection ended.
+func (p *pool) judge(a *attempt, status choice.Status) {
+	if !a.kept {
+		return
+	}
+	reset := 0.0
+	if status == choice.Reset {
+		reset = 1
+	}
+	p.stale += staleWeight * (reset - p.stale)
+}
+
 // evict closes one idle connection to make room for another backend's.
 func (p *pool) evict() {
 	for _, b := range p.byID {
@@ -193,8 +215,13 @@
 	to       *backend
 	started  time.Time
 	deadline time.Time
-	wrote    chan struct{} // closed when the write is over
-	whole    bool          // the last byte is written; valid once wrote is closed
+
+	repeatable bool // may run twice
+	fresh      bool // on a connection of its own, which is not kept
+	kept       bool // on one that was kept
+
+	wrote chan struct{} // closed when the write is over
+	whole bool          // the last byte is written; valid once wrote is closed
 
 	mu      sync.Mutex
 	aborted bool
--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -463,6 +463,39 @@
 	b.want(t, choice.ConnectFailed)
 }
 
+// While kept connections are reset at their next request, a payment on one
+// would be lost: it goes on a new one.
+func TestPaymentAvoidsKeptConnectionsWhileTheyAreReset(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	c := r.dial()
+	c.send("Q.ASK", anyone, newID(), lookup)
+	first := wait(t, "the request", b.got)
+	first.answer("v")
+	c.want("$1\r\nv")
+	r.rest(1)
+	c.send("Q.ASK", anyone, newID(), lookup)
+	wait(t, "a request on the kept connection", b.got).reset()
+	again := wait(t, "its further attempt", b.got)
+	again.answer("v")
+	c.want("$1\r\nv")
+	r.rest(1)
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	got := wait(t, "a payment", b.got)
+	if got.nc == again.nc {
+		t.Error("the payment is on a kept connection")
+	}
+	got.answer("w")
+	c.want("$1\r\nw")
+	c.send("Q.ASK", anyone, newID(), lookup)
+	if last := wait(t, "a lookup", b.got); last.nc != again.nc {
+		t.Error("the lookup does not try the kept connection")
+	} else {
+		last.answer("x")
+	}
+	c.want("$1\r\nx")
+}
+
 // An answer read late, in two parts, is whole all the same.
 func TestSlowAnswerIsTakenWhole(t *testing.T) {
 	b := newBench(t)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -173,7 +173,11 @@
 
 // ended takes the end of an attempt. c is its connection if that can be used again.
 func (l *loop) ended(a *attempt, answer reply, elapsed time.Duration, c *conn) {
-	if c != nil {
+	l.pool.judge(a, answer.status)
+	switch {
+	case c != nil && a.fresh:
+		c.retire()
+	case c != nil:
 		l.pool.put(c)
 	}
 	if a.request == nil {
@@ -277,7 +281,8 @@
 // Send starts an attempt.
 func (l *loop) Send(id, backend uint32, timeout time.Duration) {
 	r := l.requests[id]
-	a := &attempt{request: r, number: len(r.attempts), deadline: time.Now().Add(timeout)}
+	a := &attempt{request: r, number: len(r.attempts), deadline: time.Now().Add(timeout),
+		repeatable: l.cfg.Choice.Classes[r.class].Effect == choice.Free}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	l.pool.start(a, backend)
@@ -306,7 +311,7 @@
 
 // Probe asks a backend for its load.
 func (l *loop) Probe(backend uint32) {
-	l.pool.start(&attempt{deadline: time.Now().Add(probeTimeout)}, backend)
+	l.pool.start(&attempt{repeatable: true, deadline: time.Now().Add(probeTimeout)}, backend)
 }
 
 // After sets a timer.
