Add a door that closes connections at rest sooner the fewer places are left

The decision is a package with no I/O: high-water and low-water marks on connections that have asked, the least recently used first, a rest of 2 s down to 50 ms as places run short, a floor below which nobody that asked is closed, and batches with pauses between.

Checked by properties against a plain list and by seeded runs in virtual time.

--- /dev/null
+++ b/door/door_test.go
@@ -0,0 +1,468 @@
+package door
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func marks() Marks {
+	return Marks{Places: 9, Spare: 2, Useful: 8, High: 5, Low: 3, Floor: 2,
+		RestMost: 2000 * ms, RestLeast: 50 * ms, SilentMost: 250 * ms, SilentLeast: 50 * ms, Batch: 3, Pause: ms}
+}
+
+// plain is the model: what a door knows, kept in a list that is searched.
+type plain struct {
+	marks    Marks
+	places   []*Place[int]
+	trimming bool
+	draining bool
+}
+
+func (m *plain) asked() (n int) {
+	for _, p := range m.places {
+		if p.asked && p.state != leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *plain) staying() (n int) {
+	for _, p := range m.places {
+		if p.state != leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// check compares the door's counts with the model's.
+func (m *plain) check(t *rapid.T, d *Door[int]) {
+	f := d.Figures()
+	if f.Open != len(m.places) || f.Asked != m.asked() || f.Open-f.Leaving != m.staying() {
+		t.Fatalf("the door counts %+v; there are %d, of them %d that asked and stay, %d that stay",
+			f, len(m.places), m.asked(), m.staying())
+	}
+	if d.Room() != (len(m.places) < m.marks.Places) {
+		t.Fatalf("room is %v with %d of %d places taken", d.Room(), len(m.places), m.marks.Places)
+	}
+}
+
+// due checks each choice of Due against all that it could have chosen, and what
+// it has left open afterwards.
+func (m *plain) due(t *rapid.T, d *Door[int], now time.Duration, waiting bool) (named []*Place[int]) {
+	at, any := d.Next(waiting)
+	held := d.next > now
+	d.Due(now, waiting, func(p *Place[int]) {
+		asked := m.asked()
+		if p.asked {
+			asked++ // it is marked as leaving already
+		}
+		switch {
+		case m.draining:
+		case p.asked && asked <= m.marks.Floor:
+			t.Fatalf("one that asked is closed with %d left, at a floor of %d", asked, m.marks.Floor)
+		case p.asked && asked <= m.marks.Low && !waiting:
+			t.Fatalf("trimmed to %d, below the low mark", asked-1)
+		case p.asked && now-p.since < m.marks.RestLeast:
+			t.Fatalf("closed after a rest of %v", now-p.since)
+		case !p.asked && now-p.since < m.marks.SilentLeast:
+			t.Fatalf("closed after %v without a request", now-p.since)
+		}
+		for _, o := range m.places {
+			if o.state == resting && p.asked && o.since < p.since {
+				t.Fatalf("one that rests since %v is closed before one since %v", p.since, o.since)
+			}
+		}
+		named = append(named, p)
+	})
+	if len(named) > m.marks.Batch {
+		t.Fatalf("%d closed at once, %d at most", len(named), m.marks.Batch)
+	}
+	if len(named) > 0 && (!any || now < at) {
+		t.Fatalf("closes at %v, though Next told %v, %v", now, at, any)
+	}
+	if len(named) == 0 && any && now >= at && !held {
+		t.Fatalf("closes nothing at %v, though Next told %v", now, at)
+	}
+	if held && len(named) > 0 {
+		t.Fatal("a batch comes before its pause is over")
+	}
+	if held || len(named) == m.marks.Batch {
+		return named
+	}
+	if asked := m.asked(); asked > m.marks.High {
+		m.trimming = true
+	} else if asked <= m.marks.Low {
+		m.trimming = false
+	}
+	leavingNow := len(m.places) - m.staying()
+	for _, p := range m.places {
+		idle := now - p.since
+		switch {
+		case m.draining && p.Resting():
+			t.Fatal("one at rest stays through a drain")
+		case waiting && leavingNow == 0 && p.state == resting && m.asked() > m.marks.Floor && idle >= m.marks.RestLeast:
+			t.Fatalf("a client waits while one that rests for %v keeps its place", idle)
+		case waiting && leavingNow == 0 && p.state == silent && m.staying() >= m.marks.Places && idle >= m.marks.SilentLeast:
+			t.Fatalf("a client waits while one that is silent for %v keeps its place", idle)
+		case m.trimming && p.state == resting && idle >= m.marks.RestMost:
+			t.Fatalf("one rests for %v, not yet down to the low mark", idle)
+		}
+	}
+	return named
+}
+
+// Any sequence of events keeps the counts, the order, the floor and the marks.
+func TestDoorKeepsItsMarks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &plain{marks: marks()}
+		d, err := New[int](m.marks)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Duration(0)
+		one := func(t *rapid.T, what string, ok func(*Place[int]) bool) *Place[int] {
+			var of []*Place[int]
+			for _, p := range m.places {
+				if ok(p) {
+					of = append(of, p)
+				}
+			}
+			if len(of) == 0 {
+				t.Skip("no " + what)
+			}
+			return rapid.SampledFrom(of).Draw(t, what)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				if !d.Room() {
+					t.Skip("full")
+				}
+				p := &Place[int]{}
+				m.places = append(m.places, p)
+				d.Enter(p, now)
+			},
+			"crowd": func(t *rapid.T) { // that has asked and rests
+				for n := rapid.IntRange(1, 9).Draw(t, "clients"); n > 0 && d.Room(); n-- {
+					p := &Place[int]{}
+					m.places = append(m.places, p)
+					d.Enter(p, now)
+					d.Work(p, true)
+					d.Rest(p, now)
+				}
+			},
+			"gone": func(*rapid.T) {
+				for _, p := range m.places {
+					if p.Leaving() {
+						d.Leave(p)
+					}
+				}
+				m.places = slices.DeleteFunc(m.places, func(p *Place[int]) bool { return p.state == away })
+			},
+			"work": func(t *rapid.T) {
+				p := one(t, "place", func(p *Place[int]) bool { return true })
+				d.Work(p, rapid.Bool().Draw(t, "asked"))
+			},
+			"rest": func(t *rapid.T) {
+				d.Rest(one(t, "busy place", func(p *Place[int]) bool { return p.state == busy }), now)
+			},
+			"leave": func(t *rapid.T) {
+				p := one(t, "place", func(p *Place[int]) bool { return true })
+				d.Leave(p)
+				d.Leave(p) // told twice, it counts once
+				m.places = slices.DeleteFunc(m.places, func(o *Place[int]) bool { return o == p })
+			},
+			"time": func(t *rapid.T) {
+				now += time.Duration(rapid.SampledFrom([]int{0, 1, 5, 60, 300, 2500}).Draw(t, "ms")) * ms
+			},
+			"drain": func(t *rapid.T) {
+				if rapid.IntRange(0, 30).Draw(t, "whether") == 0 {
+					d.Drain()
+					m.draining = true
+				}
+			},
+			"due": func(t *rapid.T) { m.due(t, d, now, !d.Room() && rapid.Bool().Draw(t, "waiting")) },
+			"":    func(t *rapid.T) { m.check(t, d) },
+		})
+	})
+}
+
+// world is a door in virtual time, between a listener's queue and clients.
+type world struct {
+	t      *testing.T
+	d      *Door[int]
+	rng    *rand.Rand
+	now    time.Duration
+	queue  []arrival // clients that wait to be taken
+	open   []*conn
+	closed int
+	waits  []time.Duration // of usual clients, for a place
+}
+
+type arrival struct {
+	at    time.Duration
+	usual bool
+}
+
+type conn struct {
+	Place[int]
+	usual bool
+	until time.Duration // of its request, and then of its client's patience
+}
+
+// step is one millisecond. A usual client asks as soon as it is taken, for 5 to
+// 100 ms, and holds its connection afterwards; others say nothing.
+func (w *world) step(usual float64, others int, hold time.Duration) {
+	w.now += ms
+	for p := usual; p > 0; p-- {
+		if w.rng.Float64() < p {
+			w.queue = append(w.queue, arrival{w.now, true})
+		}
+	}
+	for range others {
+		w.queue = append(w.queue, arrival{w.now, false})
+	}
+	for _, c := range slices.Clone(w.open) {
+		switch {
+		case c.Leaving():
+			w.leave(c)
+		case c.state == busy && w.now >= c.until:
+			w.d.Rest(&c.Place, w.now)
+			c.until = w.now + hold
+		case c.state == resting && w.now >= c.until:
+			w.leave(c)
+		}
+	}
+	for len(w.queue) > 0 && w.d.Room() {
+		a := w.queue[0]
+		w.queue = w.queue[1:]
+		c := &conn{usual: a.usual}
+		w.open = append(w.open, c)
+		w.d.Enter(&c.Place, w.now)
+		if a.usual {
+			w.waits = append(w.waits, w.now-a.at)
+			w.d.Work(&c.Place, true)
+			c.until = w.now + time.Duration(5+w.rng.IntN(95))*ms
+		}
+	}
+	waiting := len(w.queue) > 0
+	w.d.Due(w.now, waiting, func(*Place[int]) { w.closed++ })
+	if !waiting || w.d.next > w.now || w.d.leaving > 0 {
+		return
+	}
+	for _, c := range w.open {
+		if c.state == resting && w.now-c.since > w.d.marks.RestLeast && w.d.asked > w.d.marks.Floor {
+			w.t.Fatalf("at %v a client waits while one that rests since %v keeps its place", w.now, c.since)
+		}
+	}
+}
+
+func (w *world) leave(c *conn) {
+	w.d.Leave(&c.Place)
+	w.open = slices.DeleteFunc(w.open, func(o *conn) bool { return o == c })
+}
+
+func newWorld(t *testing.T, seed uint64, m Marks) *world {
+	d, err := New[int](m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &world{t: t, d: d, rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func large() Marks {
+	return Marks{Places: 211, Spare: 13, Useful: 128, High: 64, Low: 56, Floor: 32, RestMost: 2000 * ms,
+		RestLeast: 50 * ms, SilentMost: 250 * ms, SilentLeast: 50 * ms, Batch: 64, Pause: ms}
+}
+
+// Clients open a connection for each request and hold it for 2 s. Held so long,
+// 140 requests a second take 280 places of the 128 that they may have; nobody
+// may find all of them taken, and nobody be closed below the low mark.
+func TestHeldConnectionsLeavePlacesFree(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, large())
+		most := 0
+		for range 10_000 {
+			w.step(0.14, 0, 2*time.Second)
+			most = max(most, w.d.Figures().Asked)
+		}
+		if most > 120 {
+			t.Errorf("seed %d: %d places of 128 are taken", seed, most)
+		}
+		if slices.Max(w.waits) > 0 {
+			t.Errorf("seed %d: a client waits for %v", seed, slices.Max(w.waits))
+		}
+	}
+}
+
+// While places suffice nobody is closed, for however long it rests.
+func TestNobodyIsClosedWhilePlacesSuffice(t *testing.T) {
+	w := newWorld(t, 1, large())
+	for range 20_000 {
+		w.step(0.015, 0, 3*time.Second)
+	}
+	if w.closed > 0 {
+		t.Errorf("%d connections are closed with places to spare", w.closed)
+	}
+}
+
+// A flood of connections that say nothing takes no place for long: usual
+// clients wait for no more than the flood's turns before theirs.
+func TestSilentFloodLeavesUsualClientsTheirPlaces(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, large())
+		for range 5000 {
+			w.step(0.1, 1, time.Second) // a thousand a second that stay silent
+		}
+		if longest := slices.Max(w.waits); longest > 200*ms {
+			t.Errorf("seed %d: a usual client waits for %v", seed, longest)
+		}
+	}
+}
+
+// All places are taken by connections at rest when a fleet reconnects.
+func TestReconnectingFleetFindsPlaces(t *testing.T) {
+	w := newWorld(t, 1, large())
+	for range 400 {
+		w.step(1, 0, time.Hour)
+	}
+	for range 100 {
+		w.queue = append(w.queue, arrival{w.now, true})
+	}
+	for range 500 {
+		w.step(0, 0, time.Hour)
+	}
+	if len(w.queue) > 0 {
+		t.Errorf("%d clients wait still", len(w.queue))
+	}
+}
+
+func TestMassCloseGoesInPacedBatches(t *testing.T) {
+	m := marks()
+	m.Places, m.Spare, m.Batch = 50_000, 0, 64
+	d, err := New[int](m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 50_000 {
+		d.Enter(&Place[int]{}, 0)
+	}
+	d.Drain()
+	total, now := 0, time.Duration(0)
+	for batches := 0; ; batches++ {
+		at, any := d.Next(false)
+		if !any {
+			break
+		}
+		if batches > 0 && at != now+m.Pause {
+			t.Fatalf("a batch at %v, %v after the one before", at, at-now)
+		}
+		now = at
+		n := 0
+		d.Due(now, false, func(p *Place[int]) { n++; d.Leave(p) })
+		if n > m.Batch {
+			t.Fatalf("%d at once", n)
+		}
+		total += n
+	}
+	if total != 50_000 || now > time.Second {
+		t.Errorf("%d closed in %v", total, now)
+	}
+}
+
+// However short places are, the floor's connections stay.
+func TestFloorIsKeptWhenAllElseIsBusy(t *testing.T) {
+	m := marks()
+	d, err := New[int](m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	places := make([]Place[int], m.Places)
+	for i := range places {
+		d.Enter(&places[i], 0)
+		d.Work(&places[i], i < m.Floor+1)
+	}
+	for i := range m.Floor + 1 {
+		d.Rest(&places[i], 0)
+	}
+	for step := range 3 {
+		var named []*Place[int]
+		d.Due(time.Hour+time.Duration(step)*time.Second, true, func(p *Place[int]) { named = append(named, p) })
+		if step == 0 && (len(named) != 1 || named[0] != &places[0]) {
+			t.Fatalf("%d are closed, want the longest unused", len(named))
+		}
+		if step > 0 && len(named) > 0 {
+			t.Fatal("one of the floor is closed")
+		}
+		for _, p := range named {
+			d.Leave(p)
+			d.Enter(p, time.Hour)
+			d.Work(p, false)
+		}
+	}
+}
+
+// The process got fewer descriptors than it was told of.
+func TestShrinkKeepsToWhatThereIs(t *testing.T) {
+	d, err := New[int](marks())
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := &Place[int]{}
+	d.Enter(first, 0)
+	for range 4 {
+		d.Enter(&Place[int]{}, 0)
+	}
+	d.Shrink()
+	if d.Room() {
+		t.Error("there is room past the last descriptor")
+	}
+	d.Leave(first)
+	if !d.Room() {
+		t.Error("no room though one has gone")
+	}
+	if err := d.marks.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestMarksAreChecked(t *testing.T) {
+	for field, change := range map[string]func(*Marks){
+		"places": func(m *Marks) { m.Places = 0 }, "spare": func(m *Marks) { m.Spare = 9 },
+		"floor": func(m *Marks) { m.Floor = 4 }, "low": func(m *Marks) { m.Low = 6 },
+		"useful": func(m *Marks) { m.Useful = 10 }, "rest": func(m *Marks) { m.RestLeast = 0 },
+		"silent": func(m *Marks) { m.SilentMost = 1 }, "batch": func(m *Marks) { m.Batch = 0 },
+	} {
+		m := marks()
+		change(&m)
+		if _, err := New[int](m); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+}
+
+func BenchmarkDoorAtRest(b *testing.B) {
+	m := marks()
+	m.Places, m.Useful, m.High, m.Low, m.Floor = 1<<20, 1<<20, 1<<19, 1<<19, 0
+	d, _ := New[int](m)
+	places := make([]Place[int], 200_000)
+	for i := range places {
+		d.Enter(&places[i], 0)
+		d.Work(&places[i], true)
+		d.Rest(&places[i], 0)
+	}
+	for i := 0; b.Loop(); i++ {
+		p := &places[i%len(places)]
+		d.Work(p, true)
+		d.Rest(p, time.Duration(i))
+		d.Due(time.Duration(i), false, func(*Place[int]) {})
+	}
+}
