--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"curlewsail/door"
 )
 
 const (
@@ -45,14 +47,15 @@
 	server  *Server
 	nc      net.Conn
 	opened  time.Time
-	wake    chan struct{} // the writer has something to do
-	space   chan struct{} // the reader may go on
-	written chan struct{} // closed when the writer has ended
-	wrong   atomic.Int32  // wrong commands so far
+	place   door.Place[*client] // the server's
+	wake    chan struct{}       // the writer has something to do
+	space   chan struct{}       // the reader may go on
+	written chan struct{}       // closed when the writer has ended
+	wrong   atomic.Int32        // wrong commands so far
 
 	mu      sync.Mutex
 	pending []*slot
-	used    time.Time
+	half    bool // a part of a command has come
 	writing bool // the writer runs, or has run
 	asked   bool // has sent a request that could be taken
 	sending bool // the writer has answers that it has not written yet
@@ -63,9 +66,10 @@
 }
 
 func newClient(s *Server, nc net.Conn) *client {
-	now := time.Now()
-	return &client{server: s, nc: nc, opened: now, used: now, wake: make(chan struct{}, 1),
+	c := &client{server: s, nc: nc, opened: time.Now(), wake: make(chan struct{}, 1),
 		space: make(chan struct{}, 1), written: make(chan struct{})}
+	c.place.Owner = c
+	return c
 }
 
 func notify(ch chan struct{}) {
@@ -75,29 +79,12 @@
 	}
 }
 
-// standing tells how much a connection matters.
-type standing struct {
-	asked bool
-	used  time.Time
-}
-
-func (s standing) before(o standing) bool {
-	if s.asked != o.asked {
-		return o.asked
-	}
-	return s.used.Before(o.used)
-}
-
-// standing tells too whether the connection may be closed now.
-func (c *client) standing(now time.Time) (s standing, closable bool) {
+// open tells whether anything is open on the connection, a part of a command
+// among it, and whether it has ever asked.
+func (c *client) open() (open, asked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	least := silentLeast
-	if c.asked {
-		least = idleLeast
-	}
-	return standing{c.asked, c.used},
-		len(c.pending) == 0 && !c.sending && !c.closing && !c.drained && now.Sub(c.used) >= least
+	return len(c.pending) > 0 || c.sending || c.half || c.closing || c.drained, c.asked
 }
 
 // evict closes the connection at once. A command that crosses this counts as
@@ -149,6 +136,7 @@
 		c.mu.Lock()
 		full := len(c.pending) >= mostPending && !c.gone
 		closing := c.closing
+		first := len(c.pending) == 0
 		if !full && !closing {
 			c.pending = append(c.pending, s)
 			c.asked = c.asked || s.request != nil
@@ -156,6 +144,9 @@
 		}
 		c.mu.Unlock()
 		if !full || closing {
+			if first && !closing {
+				c.server.standing(c)
+			}
 			return !closing
 		}
 		<-c.space
@@ -233,6 +224,12 @@
 		if err != nil {
 			return err
 		}
+		if half := len(rest) > 0; half != c.half {
+			c.mu.Lock()
+			c.half = half
+			c.mu.Unlock()
+			c.server.standing(c)
+		}
 		switch half := len(rest) > 0; {
 		case half && (!timed || len(rest) < len(buf)):
 			c.await(at.Add(halfPatience))
@@ -378,9 +375,7 @@
 			n++
 		}
 		c.pending = c.pending[n:]
-		if c.sending = n > 0; c.sending {
-			c.used = time.Now()
-		}
+		c.sending = n > 0
 		empty := len(c.pending) == 0
 		if empty {
 			c.pending = nil
@@ -400,6 +395,9 @@
 			c.mu.Lock()
 			c.sending, c.gone = false, c.gone || err != nil
 			c.mu.Unlock()
+			if empty {
+				c.server.standing(c)
+			}
 			if err != nil {
 				c.nc.Close() // the reader notices
 				notify(c.space)
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"curlewsail/choice"
+	"curlewsail/door"
 	"curlewsail/internal/wire"
 )
 
@@ -36,6 +37,8 @@
 	garbagePercent = 400 // the heap in use is small: trade memory for CPU
 	clientShare    = 0.55
 	backendShare   = 0.35
+	usefulPart     = 3  // clients hold a third of the descriptors for requests
+	sparePart      = 16 // of the places for clients, so many are kept free
 	defaultSockets = 1024
 	defaultMemory  = 192
 )
@@ -47,7 +50,24 @@
 	debug.SetGCPercent(garbagePercent)
 }
 
-func (l Limits) clients() int  { return max(1, int(clientShare*float64(l.Sockets))) }
+func (l Limits) clients() int { return max(1, int(clientShare*float64(l.Sockets))) }
+
+// marks are the bounds of the door. Clients hold a third of the descriptors at
+// most for requests, and find no connection beyond: past half of that, those at
+// rest go sooner the fewer places are left.
+func (l Limits) marks() door.Marks {
+	places := l.clients()
+	useful := min(places, max(1, l.Sockets/usefulPart))
+	high := useful / 2
+	return door.Marks{
+		Places: places, Spare: places / sparePart,
+		Useful: useful, High: high, Low: high - high/8, Floor: high / 2,
+		RestMost: 2 * time.Second, RestLeast: 50 * time.Millisecond,
+		SilentMost: 250 * time.Millisecond, SilentLeast: 50 * time.Millisecond,
+		Batch: 64, Pause: time.Millisecond,
+	}
+}
+
 func (l Limits) backends() int { return max(1, int(backendShare*float64(l.Sockets))) }
 
 // Config is all that one ingress is told at its start.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -9,15 +9,13 @@
 	"time"
 
 	"curlewsail/choice"
+	"curlewsail/door"
 )
 
 const (
 	acceptAfterStop = 450 * time.Millisecond // clients connect for a while after SIGTERM
 	lastAnswers     = 150 * time.Millisecond // to write what became due last
 	acceptRetry     = 5 * time.Millisecond
-	spareShare      = 16                     // of the places for clients, so many are kept free
-	idleLeast       = 2 * time.Second        // a connection that has asked may be closed when idle for so long
-	silentLeast     = 250 * time.Millisecond // and one that has not when it is so old
 )
 
 // Server is one running ingress.
@@ -32,7 +30,10 @@
 
 	mu       sync.Mutex
 	clients  map[*client]struct{}
-	leaving  int           // clients that were closed to make room and are not gone yet
+	door     *door.Door[*client]
+	waiting  bool          // a connection waits for a place
+	tending  *time.Timer   // calls tend when the door next has something to close
+	freed    chan struct{} // a place may be free
 	draining bool          // connections close between requests
 	stopping bool          // no further connection is taken
 	empty    chan struct{} // closed when stopping and no client is left
@@ -48,7 +49,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("clients: %w", err)
 	}
+	d, err := door.New[*client](cfg.Limits.marks())
+	if err != nil {
+		return nil, err
+	}
 	return &Server{cfg: &cfg, ln: ln, loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
+		door: d, freed: make(chan struct{}, 1),
 		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
 		sources: newSources(func(m memberList) {
 			kind := choice.Delta
@@ -107,6 +113,7 @@
 	s.ln.Close()
 	s.mu.Lock()
 	s.stopping = true
+	notify(s.freed)
 	s.checkEmpty()
 	s.mu.Unlock()
 	s.drain()
@@ -147,10 +154,10 @@
 			time.Sleep(acceptRetry)
 			continue
 		}
-		// With no room even so, the next ones wait in the listener's queue: to
-		// turn them away would hit usual clients as well.
+		// With no room the next ones wait in the listener's queue: to turn them
+		// away would hit usual clients as well.
 		for !s.room() {
-			time.Sleep(acceptRetry)
+			<-s.freed
 		}
 		if !s.add(nc) {
 			nc.Close()
@@ -158,29 +165,44 @@
 	}
 }
 
-// room makes room for a further connection. Near the limit it closes the one
-// that matters least: first those that have never asked for anything, then the
-// one that has been idle for longest. One with a request open stays.
+// room tells whether a further connection may be taken, and lets the door make
+// room for it otherwise.
 func (s *Server) room() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	most := s.cfg.Limits.clients()
-	if s.stopping || len(s.clients)-s.leaving < most-most/spareShare {
-		return true
-	}
-	var least *client
-	var rank standing
-	now := time.Now()
-	for c := range s.clients {
-		if r, closable := c.standing(now); closable && (least == nil || r.before(rank)) {
-			least, rank = c, r
+	s.waiting = !s.stopping && !s.door.Room()
+	s.tend()
+	return !s.waiting
+}
+
+// tend closes the connections that the door names. s.mu is held.
+func (s *Server) tend() {
+	now := s.loop.now()
+	s.door.Due(now, s.waiting, func(p *door.Place[*client]) { p.Owner.evict() })
+	if at, any := s.door.Next(s.waiting); any {
+		if s.tending == nil {
+			s.tending = time.AfterFunc(at-now, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.tend()
+			})
+		} else {
+			s.tending.Reset(max(0, at-now))
 		}
 	}
-	if least != nil {
-		least.evict()
-		s.leaving++
+}
+
+// standing tells the door whether a client has anything open.
+func (s *Server) standing(c *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch open, asked := c.open(); {
+	case open:
+		s.door.Work(&c.place, asked)
+	default:
+		s.door.Rest(&c.place, s.loop.now())
 	}
-	return len(s.clients) < most
+	s.tend()
 }
 
 // add serves a new connection.
@@ -193,6 +215,8 @@
 	}
 	c.drained = s.draining // closes after its first answer
 	s.clients[c] = struct{}{}
+	s.door.Enter(&c.place, s.loop.now())
+	s.tend()
 	go c.read()
 	return true
 }
@@ -201,8 +225,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.clients, c)
-	if c.evicted {
-		s.leaving--
-	}
+	s.door.Leave(&c.place)
+	s.tend()
+	notify(s.freed)
 	s.checkEmpty()
 }
