Move the stand-ins out of the test files into internal/standin

Clients, backends and discovery of the ingress's tests were test code of one package; later tests, a try-out and measurements need the same.

--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -78,28 +78,28 @@
 	one, two := newBackend(t), newBackend(t)
 	r := newRig(t, nil, one.member("1"), two.member("2"))
 	for _, end := range []func(received){
-		received.reset,
-		func(got received) { got.nc.Close() },
-		func(got received) { got.line("-ERR failed") },
+		received.Reset,
+		func(got received) { got.Conn.Close() },
+		func(got received) { got.Line("-ERR failed") },
 		// What can't be read ends at once, though the connection stays open.
-		func(got received) { got.line("$x") },
-		func(got received) { got.line("*3\r\n$3000000000") },
-		func(got received) { got.line("-BUSY \x01") },
-		func(got received) { got.nc.Write([]byte("*3\r\n$9\r\nhalf")) },
-		func(got received) { got.nc.Write([]byte("*3\r\n$9\r\nhal")); got.nc.Close() },
+		func(got received) { got.Line("$x") },
+		func(got received) { got.Line("*3\r\n$3000000000") },
+		func(got received) { got.Line("-BUSY \x01") },
+		func(got received) { got.Conn.Write([]byte("*3\r\n$9\r\nhalf")) },
+		func(got received) { got.Conn.Write([]byte("*3\r\n$9\r\nhal")); got.Conn.Close() },
 	} {
 		c := r.dial()
 		c.send("Q.DO", anyone, newID(), payment, "BODY")
 		select {
-		case got := <-one.got:
+		case got := <-one.Got:
 			end(got)
-		case got := <-two.got:
+		case got := <-two.Got:
 			end(got)
 		}
 		c.want("-ERR failed")
 	}
-	idle(t, "a second attempt", one.got)
-	idle(t, "a second attempt", two.got)
+	idle(t, "a second attempt", one.Got)
+	idle(t, "a second attempt", two.Got)
 }
 
 // One that was turned away has not run, and goes to the other backend.
@@ -110,14 +110,14 @@
 	c.send("Q.DO", anyone, newID(), payment, "BODY")
 	var first, second received
 	select {
-	case first = <-one.got:
-		first.line("-BUSY")
-		second = wait(t, "a second attempt", two.got)
-	case first = <-two.got:
-		first.line("-BUSY")
-		second = wait(t, "a second attempt", one.got)
-	}
-	second.answer("v")
+	case first = <-one.Got:
+		first.Line("-BUSY")
+		second = wait(t, "a second attempt", two.Got)
+	case first = <-two.Got:
+		first.Line("-BUSY")
+		second = wait(t, "a second attempt", one.Got)
+	}
+	second.Answer("v")
 	c.want("$1\r\nv")
 }
 
@@ -135,7 +135,7 @@
 	c := r.dial()
 	for range 10 { // some of them try the dead one first
 		c.send("Q.DO", anyone, newID(), payment, "BODY")
-		wait(t, "the request", b.got).answer("v")
+		wait(t, "the request", b.Got).Answer("v")
 		c.want("$1\r\nv")
 	}
 }
@@ -162,20 +162,20 @@
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
 	c := r.dial()
 	c.write(encode("Q.ASK", anyone, newID(), lookup) + encode("Q.ASK", anyone, newID(), lookup))
-	one, two := wait(t, "a request", b.got), wait(t, "another", b.got)
-	if one.nc == two.nc {
+	one, two := wait(t, "a request", b.Got), wait(t, "another", b.Got)
+	if one.Conn == two.Conn {
 		t.Error("two requests on one connection at a time")
 	}
-	one.answer("v")
-	two.answer("v")
+	one.Answer("v")
+	two.Answer("v")
 	c.want("$1\r\nv")
 	c.want("$1\r\nv")
 	r.rest(2)
 	c.send("Q.ASK", anyone, newID(), lookup)
-	if three := wait(t, "a third", b.got); three.nc != one.nc && three.nc != two.nc {
+	if three := wait(t, "a third", b.Got); three.Conn != one.Conn && three.Conn != two.Conn {
 		t.Error("a new connection though two are idle")
 	} else {
-		three.answer("v")
+		three.Answer("v")
 	}
 	c.want("$1\r\nv")
 }
@@ -188,10 +188,10 @@
 	c := r.dial()
 	for range 3 {
 		c.send("Q.DO", anyone, newID(), payment, "BODY")
-		got := wait(t, "the request", b.got)
-		got.answer("v")
+		got := wait(t, "the request", b.Got)
+		got.Answer("v")
 		c.want("$1\r\nv")
-		got.nc.Close()
+		got.Conn.Close()
 		r.eventually("the connection to be dropped", func(l *loop) bool { return l.pool.open.Load() == 0 })
 	}
 }
@@ -202,14 +202,14 @@
 	r := newRig(t, func(cfg *Config) { cfg.connIdle, cfg.Choice.Probing = 100*time.Millisecond, false }, b.member("b"))
 	c := r.dial()
 	c.send("Q.ASK", anyone, newID(), lookup)
-	got := wait(t, "the request", b.got)
-	got.answer("v")
+	got := wait(t, "the request", b.Got)
+	got.Answer("v")
 	c.want("$1\r\nv")
-	if nc := wait(t, "the end of the idle connection", b.closed); nc != got.nc {
+	if nc := wait(t, "the end of the idle connection", b.Closed); nc != got.Conn {
 		t.Error("another connection ended")
 	}
 	c.send("Q.ASK", anyone, newID(), lookup)
-	wait(t, "the next request", b.got).answer("w")
+	wait(t, "the next request", b.Got).Answer("w")
 	c.want("$1\r\nw")
 }
 
@@ -219,13 +219,13 @@
 	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets, cfg.Choice.Probing = 5, false }, one.member("1")) // one for backends
 	c := r.dial()
 	c.send("Q.ASK", anyone, newID(), lookup)
-	wait(t, "the request", one.got).answer("v")
+	wait(t, "the request", one.Got).Answer("v")
 	c.want("$1\r\nv")
 	r.ask(func(l *loop) {
 		l.pool.member(two.member("2"), choice.Ready)
 		l.pool.evict()
 	})
-	wait(t, "the end of the idle connection", one.closed)
+	wait(t, "the end of the idle connection", one.Closed)
 }
 
 // bench is one connection of a pool without a loop, its other end, and the outcomes.
@@ -470,28 +470,28 @@
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
 	c := r.dial()
 	c.send("Q.ASK", anyone, newID(), lookup)
-	first := wait(t, "the request", b.got)
-	first.answer("v")
+	first := wait(t, "the request", b.Got)
+	first.Answer("v")
 	c.want("$1\r\nv")
 	r.rest(1)
 	c.send("Q.ASK", anyone, newID(), lookup)
-	wait(t, "a request on the kept connection", b.got).reset()
-	again := wait(t, "its further attempt", b.got)
-	again.answer("v")
+	wait(t, "a request on the kept connection", b.Got).Reset()
+	again := wait(t, "its further attempt", b.Got)
+	again.Answer("v")
 	c.want("$1\r\nv")
 	r.rest(1)
 	c.send("Q.DO", anyone, newID(), payment, "BODY")
-	got := wait(t, "a payment", b.got)
-	if got.nc == again.nc {
+	got := wait(t, "a payment", b.Got)
+	if got.Conn == again.Conn {
 		t.Error("the payment is on a kept connection")
 	}
-	got.answer("w")
+	got.Answer("w")
 	c.want("$1\r\nw")
 	c.send("Q.ASK", anyone, newID(), lookup)
-	if last := wait(t, "a lookup", b.got); last.nc != again.nc {
+	if last := wait(t, "a lookup", b.Got); last.Conn != again.Conn {
 		t.Error("the lookup does not try the kept connection")
 	} else {
-		last.answer("x")
+		last.Answer("x")
 	}
 	c.want("$1\r\nx")
 }
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -14,19 +14,19 @@
 	r := newRig(t, nil, b.member("b"))
 	c := r.dial()
 	c.send("q.do", anyone, someID, "k=abc,"+payment+",r=1", "BODY")
-	got := wait(t, "the request", b.got)
+	got := wait(t, "the request", b.Got)
 	var limit int
-	if _, err := fmt.Sscanf(got.args[3], "k=abc,c=payment,t=basic,d=%d,units=1,spread=1,first=0,r=1", &limit); err != nil {
-		t.Errorf("options %q: %v", got.args[3], err)
+	if _, err := fmt.Sscanf(got.Args[3], "k=abc,c=payment,t=basic,d=%d,units=1,spread=1,first=0,r=1", &limit); err != nil {
+		t.Errorf("options %q: %v", got.Args[3], err)
 	}
 	if limit <= 0 || limit >= 20000 {
 		t.Errorf("the backend is told %d ms, want less than the client's 20000", limit)
 	}
-	got.args[3] = ""
-	if want := fmt.Sprint([]string{"q.do", anyone, someID, "", "BODY"}); fmt.Sprint(got.args) != want {
-		t.Errorf("the backend got %v, want %s", got.args, want)
+	got.Args[3] = ""
+	if want := fmt.Sprint([]string{"q.do", anyone, someID, "", "BODY"}); fmt.Sprint(got.Args) != want {
+		t.Errorf("the backend got %v, want %s", got.Args, want)
 	}
-	got.answer("done")
+	got.Answer("done")
 	c.want("$4\r\ndone")
 }
 
@@ -36,12 +36,12 @@
 	c := r.dial()
 	c.write(encode("Q.ASK", anyone, "0000000000000001", lookup) +
 		encode("Q.ASK", anyone, "0000000000000002", lookup) + encode("PING"))
-	one, two := wait(t, "a request", b.got), wait(t, "the one behind it", b.got)
-	if one.args[2] > two.args[2] {
+	one, two := wait(t, "a request", b.Got), wait(t, "the one behind it", b.Got)
+	if one.Args[2] > two.Args[2] {
 		one, two = two, one
 	}
-	two.answer("second")
-	one.answer("first")
+	two.Answer("second")
+	one.Answer("first")
 	c.want("$5\r\nfirst")
 	c.want("$6\r\nsecond")
 	c.want("+PONG")
@@ -90,7 +90,7 @@
 		c.want("+PONG")
 		c.nc.Close()
 	}
-	idle(t, "a forwarded request", b.got)
+	idle(t, "a forwarded request", b.Got)
 	r.ask(func(l *loop) {
 		if len(l.requests) > 0 || l.lastID > 0 {
 			t.Error("the gateway was told of a wrong request")
@@ -125,18 +125,18 @@
 	r := newRig(t, nil, b.member("b"))
 	c, stranger := r.dial(), r.dial()
 	c.send("Q.ASK", anyone, someID, lookup)
-	got := wait(t, "the request", b.got)
+	got := wait(t, "the request", b.Got)
 	stranger.send("Q.ASK", anyone, someID, lookup)
 	if got := stranger.line(); !strings.HasPrefix(got, "-ERR ") {
 		t.Errorf("the copy is answered %q, want -ERR", got)
 	}
-	got.answer("v")
+	got.Answer("v")
 	c.want("$1\r\nv")
 	stranger.send("Q.ASK", anyone, someID, lookup) // nor a moment after
 	if got := stranger.line(); !strings.HasPrefix(got, "-ERR ") {
 		t.Errorf("the late copy is answered %q, want -ERR", got)
 	}
-	idle(t, "a copy sent on", b.got)
+	idle(t, "a copy sent on", b.Got)
 }
 
 func TestIDsAreForgottenAfterTheirTime(t *testing.T) {
@@ -227,8 +227,8 @@
 	if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
 		t.Errorf("PING is answered %q before backends are known", got)
 	}
-	close(d.gate)
-	wait(t, "a watch", d.watched)
+	d.Open()
+	wait(t, "a watch", d.Watched)
 	r.ask(func(*loop) {}) // what came before the watch has been taken
 	c.send("PING")
 	c.want("+PONG")
@@ -237,7 +237,7 @@
 func TestBackendsOfTheConfigurationServeWhileDiscoveryIsDown(t *testing.T) {
 	b := newBackend(t)
 	d := newFakeDiscovery(t)
-	addr := d.Listener.Addr().String()
+	addr := d.Addr()
 	d.Close()
 	r := serve(t, d, func(cfg *Config) {
 		cfg.Discovery = addr
@@ -249,7 +249,7 @@
 		line = c.line()
 	}
 	c.send("Q.ASK", anyone, newID(), lookup)
-	wait(t, "the request", b.got).answer("v")
+	wait(t, "the request", b.Got).Answer("v")
 	c.want("$1\r\nv")
 }
 
@@ -259,9 +259,9 @@
 	r := newRig(t, nil, b.member("b"))
 	c := r.dial()
 	c.send("Q.DO", anyone, newID(), payment, "BODY")
-	got := wait(t, "the request", b.got)
+	got := wait(t, "the request", b.Got)
 	c.nc.Close()
-	if nc := wait(t, "the end of the attempt", b.closed); nc != got.nc {
+	if nc := wait(t, "the end of the attempt", b.Closed); nc != got.Conn {
 		t.Error("another connection ended")
 	}
 	r.eventually("the request to be forgotten", func(l *loop) bool { return len(l.requests) == 0 })
@@ -278,7 +278,7 @@
 	} else if _, err := fmt.Sscanf(got, "-BUSY %d", &ms); err != nil || ms <= 0 || ms > 1000 {
 		t.Errorf("advice of %d ms, %v", ms, err)
 	}
-	idle(t, "a forwarded request", b.got)
+	idle(t, "a forwarded request", b.Got)
 }
 
 // Open requests past the memory for them are refused; held, they would end the process.
@@ -289,7 +289,7 @@
 	c := r.dial()
 	body := strings.Repeat("x", 2000)
 	c.send("Q.DO", anyone, newID(), payment, body)
-	first := wait(t, "the request", b.got)
+	first := wait(t, "the request", b.Got)
 	c.send("Q.DO", anyone, newID(), payment, body)
 	c.send("PING")
 	r.eventually("the commands to be taken", func(*loop) bool {
@@ -305,13 +305,13 @@
 		}
 		return false
 	})
-	first.answer("v")
+	first.Answer("v")
 	c.want("$1\r\nv")
 	c.want("-BUSY")
 	c.want("+PONG")
 	r.eventually("the memory to be free", func(l *loop) bool { return l.memory.used.Load() == 0 })
 	c.send("Q.DO", anyone, newID(), payment, body)
-	wait(t, "a request after the first has ended", b.got).answer("w")
+	wait(t, "a request after the first has ended", b.Got).Answer("w")
 	c.want("$1\r\nw")
 }
 
@@ -346,15 +346,15 @@
 	quiet.send("PING")
 	quiet.want("+PONG")
 	busy.send("Q.DO", anyone, newID(), payment, "BODY")
-	got := wait(t, "the request", b.got)
+	got := wait(t, "the request", b.Got)
 	over := make(chan struct{})
 	r.server.late = func() { <-over }
 	r.stop()
 	quiet.wantEnd()
 	late := r.dial() // clients still come for a while
 	late.send("Q.DO", anyone, newID(), payment, "BODY")
-	second := wait(t, "a request after the stop", b.got)
-	second.answer("late")
+	second := wait(t, "a request after the stop", b.Got)
+	second.Answer("late")
 	late.want("$4\r\nlate")
 	late.wantEnd()
 	close(over)
@@ -365,7 +365,7 @@
 		}
 		nc.Close()
 	}
-	got.answer("v") // it is still waited for
+	got.Answer("v") // it is still waited for
 	busy.want("$1\r\nv")
 	busy.wantEnd()
 	if err := wait(t, "the end", r.ended); err != nil {
@@ -385,7 +385,7 @@
 	}
 	busy := r.dial()
 	busy.send("Q.ASK", anyone, newID(), lookup)
-	got := wait(t, "the request", b.got)
+	got := wait(t, "the request", b.Got)
 	quiet := r.dial()
 	quiet.send("PING")
 	quiet.want("+PONG")
@@ -393,7 +393,7 @@
 	third.send("PING")
 	third.want("+PONG")
 	quiet.wantEnd()
-	got.answer("v")
+	got.Answer("v")
 	busy.want("$1\r\nv")
 }
 
@@ -403,12 +403,12 @@
 	c := r.dial()
 	asked := time.Now()
 	c.send("Q.DO", anyone, newID(), strings.Replace(payment, "d=20000", "d=2000", 1), "BODY")
-	got := wait(t, "the request", b.got)
+	got := wait(t, "the request", b.Got)
 	c.want("-ERR failed")
 	if took := time.Since(asked); took < 1500*time.Millisecond {
 		t.Errorf("failed after %v with no cause to", took)
 	}
-	if nc := wait(t, "the end of the attempt", b.closed); nc != got.nc {
+	if nc := wait(t, "the end of the attempt", b.Closed); nc != got.Conn {
 		t.Error("another connection ended")
 	}
 	c.send("PING") // nothing more came for the request
@@ -421,13 +421,13 @@
 	r := newRig(t, nil, b.member("b"))
 	c := r.dial()
 	c.write(encode("Q.ASK", anyone, newID(), lookup) + encode("Q.ASK", anyone, newID(), lookup))
-	one, two := wait(t, "a request", b.got), wait(t, "another", b.got)
+	one, two := wait(t, "a request", b.Got), wait(t, "another", b.Got)
 	r.ask(func(l *loop) { // the second waits for the first, so both answers find it unwritten
 		l.Fail(2)
 		l.Refuse(2, 0)
 	})
-	one.answer("v")
-	two.answer("v")
+	one.Answer("v")
+	two.Answer("v")
 	c.want("$1\r\nv")
 	c.want("-ERR failed")
 	c.send("PING")
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -25,37 +25,37 @@
 func TestChangesOfTheListAreFollowed(t *testing.T) {
 	one, two := newBackend(t), newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, one.member("1"))
-	if index := wait(t, "a watch", r.discovery.watched); index != "7" {
+	if index := wait(t, "a watch", r.discovery.Watched); index != "7" {
 		t.Errorf("the watch begins at %s, want the list's 7", index)
 	}
 	c := r.dial()
 	c.send("Q.ASK", anyone, newID(), lookup)
-	first := wait(t, "the request", one.got)
-	first.answer("v")
+	first := wait(t, "the request", one.Got)
+	first.Answer("v")
 	c.want("$1\r\nv")
 
-	r.discovery.lines <- ""
-	r.discovery.lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"1","host_port":%q,"phase":"DRAINING"},{"id":"2","host_port":%q,"phase":"SERVING","size":1}]}`,
-		one.addr, two.addr)
-	if nc := wait(t, "the end of the idle connection to the draining backend", one.closed); nc != first.nc {
+	r.discovery.Lines <- ""
+	r.discovery.Lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"1","host_port":%q,"phase":"DRAINING"},{"id":"2","host_port":%q,"phase":"SERVING","size":1}]}`,
+		one.Addr, two.Addr)
+	if nc := wait(t, "the end of the idle connection to the draining backend", one.Closed); nc != first.Conn {
 		t.Error("another connection ended")
 	}
 	for range 5 {
 		c.send("Q.DO", anyone, newID(), payment, "BODY")
-		wait(t, "the request at the new backend", two.got).answer("w")
+		wait(t, "the request at the new backend", two.Got).Answer("w")
 		c.want("$1\r\nw")
 	}
 
-	r.discovery.lines <- "end" // the connection breaks: the watch goes on from the last revision
-	if index := wait(t, "the next watch", r.discovery.watched); index != "8" {
+	r.discovery.Lines <- "end" // the connection breaks: the watch goes on from the last revision
+	if index := wait(t, "the next watch", r.discovery.Watched); index != "8" {
 		t.Errorf("the watch goes on from %s, want 8", index)
 	}
-	r.discovery.lines <- fmt.Sprintf(`{"revision":9,"complete":true,"members":[{"id":"1","host_port":%q,"phase":"SERVING","size":1}]}`, one.addr)
+	r.discovery.Lines <- fmt.Sprintf(`{"revision":9,"complete":true,"members":[{"id":"1","host_port":%q,"phase":"SERVING","size":1}]}`, one.Addr)
 	r.eventually("the missing backend to go", func(l *loop) bool { return len(l.pool.byName) == 1 })
 	c.send("Q.DO", anyone, newID(), payment, "BODY")
-	wait(t, "the request at the first backend", one.got).answer("x")
+	wait(t, "the request at the first backend", one.Got).Answer("x")
 	c.want("$1\r\nx")
-	r.discovery.lines <- `{"revision":10,"complete":false,"members":[{"id":"1","phase":"DELETED"}]}`
+	r.discovery.Lines <- `{"revision":10,"complete":false,"members":[{"id":"1","phase":"DELETED"}]}`
 	r.eventually("the deleted backend to go", func(l *loop) bool { return len(l.pool.byName) == 0 })
 }
 
@@ -63,27 +63,27 @@
 func TestSilentWatchIsBegunAnew(t *testing.T) {
 	b := newBackend(t)
 	f := newFakeDiscovery(t, b.member("b"))
-	close(f.gate)
+	f.Open()
 	got := make(chan memberList, 10)
-	d := newDiscovery(f.Listener.Addr().String(), func(l memberList) { got <- l })
+	d := newDiscovery(f.Addr(), func(l memberList) { got <- l })
 	d.silence = 50 * time.Millisecond
 	go d.run(t.Context(), func() {})
 	if l := wait(t, "the list", got); !l.Complete || len(l.Members) != 1 || l.Members[0] != b.member("b") {
 		t.Errorf("the list is %+v", l)
 	}
-	wait(t, "a watch", f.watched)
-	wait(t, "a second one", f.watched)
+	wait(t, "a watch", f.Watched)
+	wait(t, "a second one", f.Watched)
 }
 
 func TestDiscoveryIsTriedAgain(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), func(memberList) {})
+	d := newDiscovery(f.Addr(), func(memberList) {})
 	d.patience = 20 * time.Millisecond
 	started := make(chan struct{}, 10)
 	go d.run(t.Context(), func() { started <- struct{}{} })
 	wait(t, "the first try to fail", started)
-	close(f.gate)
-	wait(t, "a watch", f.watched)
+	f.Open()
+	wait(t, "a watch", f.Watched)
 	idle(t, "a second start", started)
 }
 
@@ -107,33 +107,33 @@
 func TestDiscoveryMovesToANewAddress(t *testing.T) {
 	one, two := newBackend(t), newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, one.member("1"))
-	wait(t, "a watch", r.discovery.watched)
+	wait(t, "a watch", r.discovery.Watched)
 	c := r.dial()
 	c.send("Q.ASK", anyone, newID(), lookup)
-	first := wait(t, "the request", one.got)
+	first := wait(t, "the request", one.Got)
 
 	silent := newFakeDiscovery(t) // tells nothing: the old address stays in force
-	r.server.Reload(Config{Discovery: silent.Listener.Addr().String()})
-	r.discovery.lines <- fmt.Sprintf(`{"revision":99,"complete":false,"members":[{"id":"2","host_port":%q,"phase":"SERVING","size":1}]}`, two.addr)
+	r.server.Reload(Config{Discovery: silent.Addr()})
+	r.discovery.Lines <- fmt.Sprintf(`{"revision":99,"complete":false,"members":[{"id":"2","host_port":%q,"phase":"SERVING","size":1}]}`, two.Addr)
 	r.eventually("a change at the old address", func(l *loop) bool { return len(l.pool.byName) == 2 })
 
 	next := newFakeDiscovery(t, one.member("1"))
-	close(next.gate)
+	next.Open()
 	for range 2 { // also to where it is
-		r.server.Reload(Config{Discovery: next.Listener.Addr().String()})
-		if index := wait(t, "a watch at the new address", next.watched); index != "7" {
+		r.server.Reload(Config{Discovery: next.Addr()})
+		if index := wait(t, "a watch at the new address", next.Watched); index != "7" {
 			t.Errorf("the new watch begins at %s, want its own list's 7", index)
 		}
 	}
 	r.eventually("the new list to be in force", func(l *loop) bool { return len(l.pool.byName) == 1 })
-	first.answer("v")
+	first.Answer("v")
 	c.want("$1\r\nv")
 	r.rest(1)
 	c.send("Q.ASK", anyone, newID(), lookup)
-	if again := wait(t, "a further request", one.got); again.nc != first.nc {
+	if again := wait(t, "a further request", one.Got); again.Conn != first.Conn {
 		t.Error("the connection to the backend was not kept")
 	} else {
-		again.answer("w")
+		again.Answer("w")
 	}
 	c.want("$1\r\nw")
 }
@@ -165,16 +165,16 @@
 func TestBackendAtAnAddressTakenOverIsNew(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("old"))
-	wait(t, "a watch", r.discovery.watched)
+	wait(t, "a watch", r.discovery.Watched)
 	c := r.dial()
 	c.send("Q.ASK", anyone, newID(), lookup)
-	first := wait(t, "the request", b.got)
-	first.answer("v")
+	first := wait(t, "the request", b.Got)
+	first.Answer("v")
 	c.want("$1\r\nv")
 	r.rest(1)
-	r.discovery.lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"new","host_port":%q,"phase":"SERVING","size":1,"up_since_ms":%d}]}`,
-		b.addr, time.Now().UnixMilli())
-	if nc := wait(t, "the end of the old one's connection", b.closed); nc != first.nc {
+	r.discovery.Lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"new","host_port":%q,"phase":"SERVING","size":1,"up_since_ms":%d}]}`,
+		b.Addr, time.Now().UnixMilli())
+	if nc := wait(t, "the end of the old one's connection", b.Closed); nc != first.Conn {
 		t.Error("another connection ended")
 	}
 	for range 2 { // the full list may name the old one once more
@@ -183,10 +183,10 @@
 				t.Errorf("the backends are %v, want the new one alone under an id of its own", l.pool.byName)
 			}
 			l.members(choice.Full, memberList{Complete: true, Members: []member{
-				{ID: "new", HostPort: b.addr, Phase: phaseServing, Size: 1, UpSince: time.Now().UnixMilli()}, b.member("old")}})
+				{ID: "new", HostPort: b.Addr, Phase: phaseServing, Size: 1, UpSince: time.Now().UnixMilli()}, b.member("old")}})
 		})
 	}
 	c.send("Q.ASK", anyone, newID(), lookup)
-	wait(t, "a request at the new one", b.got).answer("w")
+	wait(t, "a request at the new one", b.Got).Answer("w")
 	c.want("$1\r\nw")
 }
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,205 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// Received is one command that came whole to a backend.
+type Received struct {
+	Conn net.Conn
+	Args []string
+}
+
+// ID is the request's id, or "" where the command has none.
+func (r Received) ID() string {
+	if len(r.Args) < 3 {
+		return ""
+	}
+	return r.Args[2]
+}
+
+// Answer serves the command with a value.
+func (r Received) Answer(value string) {
+	fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+}
+
+// Line answers with a line such as "-BUSY".
+func (r Received) Line(text string) { fmt.Fprintf(r.Conn, "%s\r\n", text) }
+
+// Reset ends the connection by a reset.
+func (r Received) Reset() {
+	r.Conn.(*net.TCPConn).SetLinger(0)
+	r.Conn.Close()
+}
+
+// LoadReport is what a backend answers to INFO.
+const LoadReport = "inflight=0,latency_ms=1"
+
+const backlog = 100 // commands and connections that a test may leave untaken
+
+// Backend is one stand-in backend. It answers probes itself. Each other command
+// goes to Handle, on a goroutine of its connection, in order; with no Handle
+// they are handed out on Got, and connections on Opened and Closed.
+type Backend struct {
+	Addr   string
+	Got    chan Received
+	Opened chan net.Conn
+	Closed chan net.Conn // the ingress has ended it
+
+	handle func(Received)
+	ln     net.Listener
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewBackend starts a backend. Each command goes to handle, or to Got if that is nil.
+func NewBackend(handle func(Received)) (*Backend, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in backend: %w", err)
+	}
+	b := &Backend{Addr: ln.Addr().String(), ln: ln, handle: handle, conns: map[net.Conn]struct{}{}}
+	if handle == nil {
+		b.Got = make(chan Received, backlog)
+		b.Opened, b.Closed = make(chan net.Conn, backlog), make(chan net.Conn, backlog)
+	}
+	go b.accept()
+	return b, nil
+}
+
+func (b *Backend) accept() {
+	for {
+		nc, err := b.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		b.mu.Lock()
+		if b.closed {
+			nc.Close()
+		} else {
+			b.conns[nc] = struct{}{}
+		}
+		b.mu.Unlock()
+		if b.handle == nil {
+			b.Opened <- nc
+		}
+		go b.serve(nc)
+	}
+}
+
+func (b *Backend) serve(nc net.Conn) {
+	commands := redcon.NewReader(nc)
+	for {
+		cmd, err := commands.ReadCommand()
+		if err != nil {
+			b.mu.Lock()
+			delete(b.conns, nc)
+			b.mu.Unlock()
+			if b.handle == nil {
+				b.Closed <- nc
+			} else {
+				nc.Close()
+			}
+			return
+		}
+		r := Received{Conn: nc}
+		for _, a := range cmd.Args {
+			r.Args = append(r.Args, string(a))
+		}
+		switch {
+		case r.Args[0] == "INFO":
+			fmt.Fprintf(nc, "$%d\r\n%s\r\n", len(LoadReport), LoadReport)
+		case b.handle != nil:
+			b.handle(r)
+		default:
+			b.Got <- r
+		}
+	}
+}
+
+// Conns is the number of connections that are open.
+func (b *Backend) Conns() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns)
+}
+
+// Close ends the backend and its connections.
+func (b *Backend) Close() {
+	b.ln.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	for nc := range b.conns {
+		nc.Close()
+	}
+}
+
+// Effects counts how often each request has run, over all backends that it is
+// given to. It stands apart from what the ingress says of itself.
+type Effects struct {
+	mu   sync.Mutex
+	runs map[string]int
+	all  int
+}
+
+// Run counts a run of a request.
+func (e *Effects) Run(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs == nil {
+		e.runs = map[string]int{}
+	}
+	e.runs[id]++
+	e.all++
+}
+
+// Of tells how often a request has run.
+func (e *Effects) Of(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// Total tells how many runs there were in all.
+func (e *Effects) Total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.all
+}
+
+// Twice names the requests that ran more than once.
+func (e *Effects) Twice() (ids []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, n := range e.runs {
+		if n > 1 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Work returns a handler that counts each command, takes so long over it, and
+// answers with the request's id as the value, so that a client can tell whose
+// value it got.
+func (e *Effects) Work(takes func() time.Duration) func(Received) {
+	return func(r Received) {
+		e.Run(r.ID())
+		if d := takes(); d > 0 {
+			time.Sleep(d)
+		}
+		r.Answer(r.ID())
+	}
+}
