--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -29,6 +29,11 @@
 	fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
 }
 
+// Metered serves the command with a value and the figures on use.
+func (r Received) Metered(value, figures string) {
+	fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$-1\r\n", len(value), value, len(figures), figures)
+}
+
 // Line answers with a line such as "-BUSY".
 func (r Received) Line(text string) { fmt.Fprintf(r.Conn, "%s\r\n", text) }
 
@@ -193,13 +198,17 @@
 
 // Work returns a handler that counts each command, takes so long over it, and
 // answers with the request's id as the value, so that a client can tell whose
-// value it got.
-func (e *Effects) Work(takes func() time.Duration) func(Received) {
+// value it got. With a meter the answers tell the customer's use, a unit a request.
+func (e *Effects) Work(takes func() time.Duration, meter *Meter) func(Received) {
 	return func(r Received) {
 		e.Run(r.ID())
 		if d := takes(); d > 0 {
 			time.Sleep(d)
 		}
+		if meter != nil {
+			r.Metered(r.ID(), meter.Count(r.Args[1], 1))
+			return
+		}
 		r.Answer(r.ID())
 	}
 }
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Load is a steady stream of requests from clients that keep connections and
+// open more when all are busy, as the platform's front does. It is open: a
+// request is due at its time, whether or not those before it are answered, and
+// its latency counts from then.
+type Load struct {
+	Addr      string
+	PerSecond float64
+	Payments  float64 // share of the requests that must not run twice; the others are lookups
+	Deadline  time.Duration
+	Customers []Customer // by weight; nil for one
+	NoKeep    bool       // a connection for each request
+
+	mu    sync.Mutex
+	idle  []*Client
+	seen  Tally
+	late  []time.Duration
+	since int // of late, where the part for Lap begins
+}
+
+// Customer is one of those in whose name requests are sent.
+type Customer struct {
+	Number uint64
+	Weight float64
+}
+
+// Tally counts what became of requests, as their clients saw it.
+type Tally struct {
+	Asked, Served, Refused, Failed int
+	Lost, Wrong                    int // these must stay 0
+	Unreached                      int // no connection was to be had
+	Resent                         int // sent once more, as a close crossed them
+	Extra                          int // bytes that nobody asked for behind an answer
+	Open                           int // asked and not ended yet
+}
+
+// Sound tells what no ingress may cause: lost, wrong or second answers.
+func (t Tally) Sound() error {
+	if t.Lost+t.Wrong+t.Extra > 0 {
+		return fmt.Errorf("%d requests lost, %d served with another's value, %d answered twice", t.Lost, t.Wrong, t.Extra)
+	}
+	if ends := t.Served + t.Refused + t.Failed + t.Unreached; ends+t.Open != t.Asked {
+		return fmt.Errorf("%d requests asked, %d ended and %d open", t.Asked, ends, t.Open)
+	}
+	return nil
+}
+
+// PaymentID tells whether the id is that of a payment of a Load.
+func PaymentID(id string) bool { return strings.HasPrefix(id, "f") }
+
+// Run sends until ctx ends, and then waits for what is open.
+func (l *Load) Run(ctx context.Context) {
+	var open sync.WaitGroup
+	start := time.Now()
+	for n := 0; ; n++ {
+		due := start.Add(time.Duration(float64(n) / l.PerSecond * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(due)):
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			l.one(due)
+		}()
+	}
+	open.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.idle {
+		c.Close()
+	}
+	l.idle = nil
+}
+
+func (l *Load) customer() uint64 {
+	total := 0.0
+	for _, c := range l.Customers {
+		total += c.Weight
+	}
+	at := rand.Float64() * total
+	for _, c := range l.Customers {
+		if at -= c.Weight; at < 0 {
+			return c.Number
+		}
+	}
+	return 1
+}
+
+// one sends a request and follows it to its end.
+func (l *Load) one(due time.Time) {
+	id := "0" + NewID()[1:]
+	words := Lookup(l.customer(), id, int(l.Deadline.Milliseconds()))
+	if rand.Float64() < l.Payments {
+		id = "f" + id[1:]
+		words = Payment(l.customer(), id, int(l.Deadline.Milliseconds()))
+	}
+	l.mu.Lock()
+	l.seen.Asked++
+	l.seen.Open++
+	l.mu.Unlock()
+	c, kept := l.take()
+	outcome := Unsent
+	if c != nil {
+		c.SetDeadline(time.Now().Add(l.Deadline + time.Second))
+		outcome = c.Ask(id, words...)
+	}
+	resent := false
+	if outcome == Unsent && kept { // once more, on a new connection
+		c.Close()
+		resent = true
+		if c, _ = l.dial(); c != nil {
+			c.SetDeadline(time.Now().Add(l.Deadline + time.Second))
+			outcome = c.Ask(id, words...)
+		}
+	}
+	took := time.Since(due)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen.Open--
+	if resent {
+		l.seen.Resent++
+	}
+	switch outcome {
+	case Served:
+		l.seen.Served++
+		l.late = append(l.late, took)
+	case Refused:
+		l.seen.Refused++
+	case Failed:
+		l.seen.Failed++
+	case Wrong:
+		l.seen.Wrong++
+	case Lost:
+		l.seen.Lost++
+	case Unsent:
+		l.seen.Unreached++
+	}
+	if c == nil {
+		return
+	}
+	if c.In.Buffered() > 0 {
+		l.seen.Extra++
+	}
+	if l.NoKeep || outcome > Failed || c.In.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	l.idle = append(l.idle, c)
+}
+
+// take gives the connection that was used last, or a new one.
+func (l *Load) take() (c *Client, kept bool) {
+	l.mu.Lock()
+	if n := len(l.idle); n > 0 {
+		c, l.idle = l.idle[n-1], l.idle[:n-1]
+	}
+	l.mu.Unlock()
+	if c != nil {
+		return c, true
+	}
+	return l.dial()
+}
+
+func (l *Load) dial() (*Client, bool) {
+	c, err := Dial(l.Addr, l.Deadline)
+	if err != nil {
+		return nil, false
+	}
+	return c, false
+}
+
+// Tally is what was seen up to now.
+func (l *Load) Tally() Tally {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen
+}
+
+// Lap gives the latencies of what was served since the last Lap, in order of size.
+func (l *Load) Lap() []time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	part := slices.Clone(l.late[l.since:])
+	l.since = len(l.late)
+	slices.Sort(part)
+	return part
+}
+
+// Latencies are those of all that was served, in order of size.
+func (l *Load) Latencies() []time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := slices.Clone(l.late)
+	slices.Sort(all)
+	return all
+}
+
+// Percentile takes the value below which a share of a sorted list lies, by the
+// nearest rank; 0 of an empty one.
+func Percentile(sorted []time.Duration, share float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
--- /dev/null
+++ b/internal/standin/process.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Process is the real program, started with the configuration of one node.
+type Process struct {
+	Addr string // where it serves clients
+	Cmd  *exec.Cmd
+
+	ended chan struct{}
+	err   error
+	log   []string // the last lines it wrote; valid once it has ended
+}
+
+const logKept = 200
+
+// Start starts a program with a configuration, and waits until it tells its
+// address. The program is killed when ctx ends.
+func (n Node) Start(ctx context.Context, program []string, dir string, env ...string) (*Process, error) {
+	path, err := n.Write(dir)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Cmd: exec.CommandContext(ctx, program[0], program[1:]...), ended: make(chan struct{})}
+	p.Cmd.Env = append(append(os.Environ(), env...), "NODE_CONFIG="+path)
+	// A Ctrl-C at the terminal goes to this process alone, which then stops the others in order.
+	p.Cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	out, err := p.Cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.Cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start: %w", err)
+	}
+	told := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			if len(p.log) == logKept {
+				p.log = p.log[1:]
+			}
+			p.log = append(p.log, lines.Text())
+			if _, rest, ok := strings.Cut(lines.Text(), "address="); ok && strings.Contains(lines.Text(), "serving") {
+				select {
+				case told <- strings.Fields(rest)[0]:
+				default:
+				}
+			}
+		}
+		p.err = p.Cmd.Wait()
+		close(p.ended)
+	}()
+	select {
+	case p.Addr = <-told:
+		return p, nil
+	case <-p.ended:
+		return nil, fmt.Errorf("the program ended at its start: %v: %s", p.err, strings.Join(p.log, "; "))
+	}
+}
+
+// Stop sends SIGTERM and waits for the end. It returns what the program ended with.
+func (p *Process) Stop(patience time.Duration) error {
+	p.Cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		p.Cmd.Process.Kill()
+		<-p.ended
+		return errors.New("the program did not end in time")
+	}
+	if p.err != nil {
+		return fmt.Errorf("%w: %s", p.err, strings.Join(p.log, "; "))
+	}
+	return nil
+}
+
+// Usage is what a process has used and holds, as the kernel tells it.
+type Usage struct {
+	CPU      time.Duration // user and system
+	Resident int64         // bytes
+	Files    int           // descriptors
+	Switches int64         // voluntary context switches of all threads: wakeups
+}
+
+// Usage reads the process's figures.
+func (p *Process) Usage() (u Usage, err error) { return UsageOf(p.Cmd.Process.Pid) }
+
+// UsageOf reads the figures of a process from /proc.
+func UsageOf(pid int) (u Usage, err error) {
+	base := fmt.Sprintf("/proc/%d", pid)
+	stat, err := os.ReadFile(base + "/stat")
+	if err != nil {
+		return u, err
+	}
+	rest := string(stat)[strings.LastIndexByte(string(stat), ')')+2:]
+	var ticks [2]int64
+	fields := strings.Fields(rest)
+	for i := range ticks {
+		fmt.Sscan(fields[11+i], &ticks[i])
+	}
+	u.CPU = time.Duration(ticks[0]+ticks[1]) * (time.Second / 100) // USER_HZ is 100 on Linux
+	var pages int64
+	fmt.Sscan(fields[21], &pages)
+	u.Resident = pages * int64(os.Getpagesize())
+	files, err := os.ReadDir(base + "/fd")
+	if err != nil {
+		return u, err
+	}
+	u.Files = len(files)
+	tasks, err := os.ReadDir(base + "/task")
+	if err != nil {
+		return u, err
+	}
+	for _, t := range tasks {
+		status, err := os.ReadFile(base + "/task/" + t.Name() + "/status")
+		if err != nil {
+			continue // the thread has ended
+		}
+		if _, v, ok := strings.Cut(string(status), "\nvoluntary_ctxt_switches:"); ok {
+			var n int64
+			fmt.Sscan(v, &n)
+			u.Switches += n
+		}
+	}
+	return u, nil
+}
