--- a/cmd/tryout/main_test.go
+++ b/cmd/tryout/main_test.go
@@ -14,13 +14,13 @@
 		t.Fatalf("the embedded default: %v", err)
 	}
 	for from, to := range map[string]struct{ text, want string }{
-		"seconds = 15":     {"seconds = x", "line 2"},
-		"cores = 1.0":      {"corse = 1.0", "ingress.corse"},
-		"payments = 0.25":  {"payments = 1.5", "clients.payments"},
-		"[10, 30]":         {"[30, 10]", "backend 3"},
-		"sockets = 1024":   {"sockets = 0", "ingress.sockets"},
-		"greedy = 0.3":     {"greedy = 1.0", "clients.greedy"},
-		"quota_rate = 40":  {"quota_rate = -1", "plan.quota_rate"},
+		"seconds = 15":       {"seconds = x", "line 2"},
+		"cores = 1.0":        {"corse = 1.0", "ingress.corse"},
+		"payments = 0.25":    {"payments = 1.5", "clients.payments"},
+		"[10, 30]":           {"[30, 10]", "backend 3"},
+		"sockets = 1024":     {"sockets = 0", "ingress.sockets"},
+		"greedy = 0.3":       {"greedy = 1.0", "clients.greedy"},
+		"quota_rate = 40":    {"quota_rate = -1", "plan.quota_rate"},
 		"deadline_ms = 1000": {"deadline_ms = -1", "clients.deadline_ms"},
 	} {
 		text := strings.Replace(defaults, from, to.text, 1)
