Hold clients' connections on one epoll goroutine, with a timing wheel for deadlines

Need: each connection cost a goroutine or two, a 4 KB buffer and the runtime's record and timers, also at rest. Now one goroutine owns all of them: an edge triggered epoll (internal/poll) that the Go runtime's own poller watches, so that no thread blocks; one shared read buffer; a timing wheel with a tick of 1 ms; answers come by mail and are written without blocking. A request knows an answerer and no connection. What a client does not read is bounded by connection (1 MB), in all (half the memory for clients) and in time (5 s). The gateway's timers are on a wheel too. Descriptors that run out in accept, in a dial or in a reload make the door lower its places and close those at rest; a file of our own sets its marks (-config, off on the platform).

Found by tests on the way: a door shrunk to its floor let nobody in; an eighth of the places is now left to all else, and marks keep their shares. Ruled out: dials that wait for accept to give a descriptor back, as accept takes it first.

--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -1,16 +1,21 @@
 // Command wickarch is one ingress: it takes requests of clients over RESP,
 // decides with package choice and passes them on to backends. It is configured
-// by the file that NODE_CONFIG names.
+// by the file that NODE_CONFIG names, and with -config by a file of our own for
+// what the platform does not tell (deploy/wickarch.toml).
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"curlewsail/internal/config"
 	"curlewsail/internal/ingress"
 )
 
@@ -22,6 +27,22 @@
 }
 
 func run() error {
+	file := flag.String("config", "", "a file such as deploy/wickarch.toml, for what the platform's configuration does not tell")
+	check := flag.Bool("check", false, "check that file, print every fault with its line, and end")
+	flag.Parse()
+	var own config.Own
+	if *file != "" {
+		var err error
+		if own, err = config.Load(*file); err != nil {
+			return err
+		}
+	}
+	if *check {
+		if *file == "" {
+			return errors.New("-check needs -config FILE")
+		}
+		return nil
+	}
 	// Taken from the first moment on: by default SIGHUP ends the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -29,6 +50,8 @@
 	if err != nil {
 		return err
 	}
+	cfg.Own = own
+	cfg.Limits = cfg.Limits.Held()
 	cfg.Limits.Apply()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -39,7 +62,7 @@
 	slog.Info("serving", "name", cfg.Name, "address", srv.Addr().String())
 	go func() {
 		for range reload {
-			if next, err := ingress.LoadConfig(os.Getenv); err != nil {
+			if next, err := reread(); err != nil {
 				slog.Error("the configuration stays as it was", "error", err)
 			} else {
 				slog.Info("configuration read again", "discovery", next.Discovery)
@@ -49,3 +72,20 @@
 	}()
 	return srv.Serve(ctx)
 }
+
+// reread reads the configuration again. Descriptors may have run out for a
+// moment: a reload that gave up at once would be lost.
+func reread() (cfg ingress.Config, err error) {
+	for range reloadTries {
+		if cfg, err = ingress.LoadConfig(os.Getenv); !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+			return cfg, err
+		}
+		time.Sleep(reloadRetry)
+	}
+	return cfg, err
+}
+
+const (
+	reloadTries = 250
+	reloadRetry = 20 * time.Millisecond
+)
--- a/door/door.go
+++ b/door/door.go
@@ -72,6 +72,20 @@
 	return nil
 }
 
+// Defaults are marks for so many places, of which clients can hold useful ones
+// for requests.
+func Defaults(places, useful int) Marks {
+	useful = min(places, max(1, useful))
+	high := useful / 2
+	return Marks{
+		Places: places, Spare: places / 16,
+		Useful: useful, High: high, Low: high - high/8, Floor: high / 2,
+		RestMost: 2 * time.Second, RestLeast: 50 * time.Millisecond,
+		SilentMost: 250 * time.Millisecond, SilentLeast: 50 * time.Millisecond,
+		Batch: 64, Pause: time.Millisecond,
+	}
+}
+
 type state uint8
 
 const (
@@ -132,6 +146,7 @@
 // must not go back.
 type Door[T any] struct {
 	marks    Marks
+	want     Marks // before any Shrink
 	silent   queue[T]
 	resting  queue[T]
 	count    int // all but those that are leaving
@@ -156,7 +171,7 @@
 	if err := m.Check(); err != nil {
 		return nil, fmt.Errorf("door: %w", err)
 	}
-	return &Door[T]{marks: m}, nil
+	return &Door[T]{marks: m, want: m}, nil
 }
 
 // Enter gives a new connection its place.
@@ -258,19 +273,38 @@
 func (d *Door[T]) Room() bool { return d.count+d.leaving < d.marks.Places }
 
 // Drain makes Due name every connection that has nothing open, from now on.
+// Those that have not asked yet keep SilentMost for it: clients still come.
 func (d *Door[T]) Drain() { d.draining = true }
 
 // Shrink lowers the places to what the process has turned out to get: it ran
-// out of descriptors with so many connections open. The other marks follow.
-// Places do not go below one.
+// out of descriptors with so many connections open. An eighth is left to all
+// else that needs one; with none left, neither a backend could be reached nor
+// the configuration read. The other marks follow. While more are open than the
+// places already lowered, it does nothing. Places do not go below one.
 func (d *Door[T]) Shrink() {
-	m := &d.marks
-	m.Places = max(1, min(m.Places, d.count+d.leaving))
-	m.Spare = min(m.Spare, m.Places-1)
-	m.Useful = min(m.Useful, m.Places)
-	m.High = min(m.High, m.Useful)
-	m.Low = min(m.Low, m.High)
-	m.Floor = min(m.Floor, m.Low)
+	if open := d.count + d.leaving; open <= d.marks.Places {
+		d.set(max(1, open-1-open/8))
+	}
+}
+
+// Grow gives back some of the places that Shrink took, and tells whether more
+// are missing. The descriptors may have been short for a moment alone.
+func (d *Door[T]) Grow() (more bool) {
+	d.set(min(d.want.Places, d.marks.Places+1+d.marks.Places/growParts))
+	return d.marks.Places < d.want.Places
+}
+
+const growParts = 64
+
+// set changes the places. The other marks keep their shares of them: a floor as
+// high as all places would let nobody in.
+func (d *Door[T]) set(places int) {
+	m := d.want
+	for _, mark := range []*int{&m.Spare, &m.Useful, &m.High, &m.Low, &m.Floor} {
+		*mark = *mark * places / m.Places
+	}
+	m.Places = places
+	d.marks = m
 }
 
 // Due names the connections to be closed now. waiting tells that one waits to
@@ -297,28 +331,28 @@
 // pick takes the one connection off its list that is to be closed first.
 func (d *Door[T]) pick(now time.Duration, waiting bool) *Place[T] {
 	if d.draining {
-		return d.take(&d.silent, &d.closed.Drained, &d.resting)
+		if p := d.silent.first; p != nil && now-p.since >= d.marks.SilentMost {
+			return d.take(&d.silent, &d.closed.Drained)
+		}
+		return d.take(&d.resting, &d.closed.Drained)
 	}
 	if p := d.silent.first; p != nil && d.short(waiting) && now-p.since >= d.silentTime() {
-		return d.take(&d.silent, &d.closed.Silent, nil)
+		return d.take(&d.silent, &d.closed.Silent)
 	}
 	p := d.resting.first
 	if p == nil || d.asked <= d.marks.Floor {
 		return nil
 	}
 	if d.trim() && now-p.since >= d.restTime() {
-		return d.take(&d.resting, &d.closed.Trimmed, nil)
+		return d.take(&d.resting, &d.closed.Trimmed)
 	}
-	if d.full(waiting) && now-p.since >= d.marks.RestLeast {
-		return d.take(&d.resting, &d.closed.Full, nil)
+	if (d.full(waiting) || d.count > d.marks.Places) && now-p.since >= d.marks.RestLeast {
+		return d.take(&d.resting, &d.closed.Full)
 	}
 	return nil
 }
 
-func (d *Door[T]) take(q *queue[T], count *uint64, other *queue[T]) *Place[T] {
-	if q.first == nil && other != nil {
-		q = other
-	}
+func (d *Door[T]) take(q *queue[T], count *uint64) *Place[T] {
 	p := q.first
 	if p != nil {
 		q.remove(p)
@@ -382,7 +416,10 @@
 		}
 	}
 	if d.draining {
-		if d.silent.first != nil || d.resting.first != nil {
+		if p := d.silent.first; p != nil {
+			note(p.since + d.marks.SilentMost)
+		}
+		if d.resting.first != nil {
 			note(d.next)
 		}
 		return at, any
@@ -394,7 +431,7 @@
 		if d.trim() {
 			note(p.since + d.restTime())
 		}
-		if d.full(waiting) {
+		if d.full(waiting) || d.count > d.marks.Places {
 			note(p.since + d.marks.RestLeast)
 		}
 	}
--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -32,6 +32,10 @@
 	// answerStall is how long an answer that has begun may stay without its
 	// end, twice: a read that was late itself must not count.
 	answerStall = 150 * time.Millisecond
+	// A dial that finds no descriptor is tried again after dialRetry and twice
+	// as long each time, up to dialRetryMost.
+	dialRetry     = 2 * time.Millisecond
+	dialRetryMost = 64 * time.Millisecond
 )
 
 // longAgo is a deadline that wakes whatever waits on a connection.
@@ -40,15 +44,16 @@
 // pool holds the backends and the idle connections to them. Only the loop
 // calls its methods, but for those of attempts and connections.
 type pool struct {
-	cfg    *Config
-	ended  func(a *attempt, r reply, elapsed time.Duration, c *conn) // c is nil unless it can be used again
-	closed func(*conn)                                               // an idle connection has closed
-	dialer net.Dialer
-	byName map[string]*backend
-	byID   map[uint32]*backend
-	lastID uint32
-	stale  float64      // share of kept connections that were reset at their next request
-	open   atomic.Int64 // connections, those being dialled among them
+	cfg     *Config
+	ended   func(a *attempt, r reply, elapsed time.Duration, c *conn) // c is nil unless it can be used again
+	closed  func(*conn)                                               // an idle connection has closed
+	starved func()                                                    // descriptors have run out in a dial
+	dialer  net.Dialer
+	byName  map[string]*backend
+	byID    map[uint32]*backend
+	lastID  uint32
+	stale   float64      // share of kept connections that were reset at their next request
+	open    atomic.Int64 // connections, those being dialled among them
 }
 
 type backend struct {
@@ -64,7 +69,7 @@
 func newPool(cfg *Config, ended func(*attempt, reply, time.Duration, *conn), closed func(*conn)) *pool {
 	return &pool{
 		cfg: cfg, ended: ended, closed: closed, dialer: net.Dialer{Timeout: cfg.connectTimeout},
-		byName: map[string]*backend{}, byID: map[uint32]*backend{},
+		starved: func() {}, byName: map[string]*backend{}, byID: map[uint32]*backend{},
 	}
 }
 
@@ -287,12 +292,22 @@
 	}
 	a.mu.Unlock()
 	nc, err := a.pool.dialer.DialContext(ctx, "tcp", a.to.addr)
+	for wait := dialRetry; outOfFiles(err) && wait <= dialRetryMost && ctx.Err() == nil; wait *= 2 {
+		// No fault of the backend's: clients at rest make room.
+		a.pool.starved()
+		time.Sleep(wait)
+		nc, err = a.pool.dialer.DialContext(ctx, "tcp", a.to.addr)
+	}
 	if err != nil {
 		a.pool.open.Add(-1)
 	}
 	return nc, err
 }
 
+func outOfFiles(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // end tells the outcome. c is nil unless it can be used again.
 func (a *attempt) end(r reply, c *conn) {
 	a.pool.ended(a, r, time.Since(a.started), c)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -2,27 +2,28 @@
 
 import (
 	"errors"
-	"io"
-	"net"
-	"os"
-	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
 
 	"curlewsail/door"
+	"curlewsail/internal/timewheel"
 )
 
 const (
-	writeTimeout  = 5 * time.Second         // a client that does not read its answers
+	writeTimeout  = 5 * time.Second         // for a client to read on, once it does not
 	lingerTime    = 200 * time.Millisecond  // to read what crosses the end of a connection
 	lingerBytes   = 64 << 10                // and so much of it
 	mostPending   = 128                     // open requests on one connection
 	firstPatience = 2200 * time.Millisecond // for the first command on a connection
 	halfPatience  = 2 * time.Second         // for the rest of one that has begun
 	mostWrong     = 8                       // wrong commands after which a connection ends
-	wrongPause    = 50 * time.Millisecond   // before the answer to the second one, and each further one
+	wrongPause    = 50 * time.Millisecond   // after the second one, and each further one
+	leastHalf     = 512                     // bytes of buffer for a command that has begun
+	mostUnread    = 256 << 10               // answers not written, past which nothing more is read
+	mostHeld      = 1 << 20                 // and past which a client that does not read is closed
+	heldPart      = 2                       // of the memory for clients, at most so much for answers not read
 )
 
 var (
@@ -30,313 +31,307 @@
 	errHalf     = errors.New("the command did not become whole in time")
 	errWrong    = errors.New("too many wrong commands")
 	errNoMemory = errors.New("no memory is left for the command")
-	errEnds     = errors.New("the connection takes no further command")
-	errLeft     = errors.New("the client is gone")
 )
 
 // slot is the place of one answer in the order of its connection.
 type slot struct {
+	client  *client
 	request *request // nil for what needs no backend
 	data    []byte
+	next    *slot
 	filled  bool
+	wrong   bool // the request should not have been sent
 }
 
-// client is a client's connection. A reader takes commands off it and starts
-// them at once; a writer sends the answers in the order of the commands.
-type client struct {
-	server  *Server
-	nc      net.Conn
-	opened  time.Time
-	place   door.Place[*client] // the server's
-	wake    chan struct{}       // the writer has something to do
-	space   chan struct{}       // the reader may go on
-	written chan struct{}       // closed when the writer has ended
-	wrong   atomic.Int32        // wrong commands so far
-
-	mu      sync.Mutex
-	pending []*slot
-	half    bool // a part of a command has come
-	writing bool // the writer runs, or has run
-	asked   bool // has sent a request that could be taken
-	sending bool // the writer has answers that it has not written yet
-	evicted bool // closed to make room
-	closing bool // takes no further command, and ends when all is answered
-	drained bool // closes between requests
-	gone    bool
-}
-
-func newClient(s *Server, nc net.Conn) *client {
-	c := &client{server: s, nc: nc, opened: time.Now(), wake: make(chan struct{}, 1),
-		space: make(chan struct{}, 1), written: make(chan struct{})}
-	c.place.Owner = c
-	return c
+// Answer gives the slot its one answer, from any goroutine. It does not block.
+func (s *slot) Answer(data []byte, wrong bool) {
+	f := s.client.front
+	f.loop.memory.force(len(data)) // until it is written
+	s.data, s.wrong = data, wrong
+	f.post(letter{slot: s})
 }
 
-func notify(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
+// fill takes the answer in, on the front's goroutine.
+func (s *slot) fill() {
+	c := s.client
+	if c.fd < 0 {
+		c.front.loop.memory.give(len(s.data))
+		return
+	}
+	s.filled = true
+	if s.wrong {
+		c.wrong++
+	}
+	c.owe(len(s.data))
+	if c.first == s && c.fd >= 0 {
+		c.soil()
 	}
 }
 
-// open tells whether anything is open on the connection, a part of a command
-// among it, and whether it has ever asked.
-func (c *client) open() (open, asked bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.pending) > 0 || c.sending || c.half || c.closing || c.drained, c.asked
-}
+// client is a client's connection. Commands start as they come; answers go in
+// the order of the commands. The front's goroutine owns it.
+type client struct {
+	front  *front
+	fd     int // -1 once closed
+	tag    int32
+	wrong  int32 // wrong commands so far
+	place  door.Place[*client]
+	timer  timewheel.Timer[*client]
+	opened time.Duration
 
-// evict closes the connection at once. A command that crosses this counts as
-// not read, and the client sends it elsewhere.
-func (c *client) evict() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.evicted, c.closing = true, true
-	c.nc.SetReadDeadline(longAgo)
-}
+	first, last *slot // answers due, in order
+	pending     int
+	half        []byte // what has been read of a command that is not whole, or is not to be taken yet
+	unwritten   []byte // what its client did not take of the answers last written
+	unread      int    // bytes of answers that are due or unwritten
+	discarded   int    // bytes read after the end
 
-func (c *client) drain() {
-	c.mu.Lock()
-	c.drained = true
-	c.startWriter()
-	c.mu.Unlock()
-	notify(c.wake)
-}
+	readAt  time.Duration // when half was last read
+	readBy  time.Duration // the first command, or the rest of one, must be here; 0: no bound
+	writeBy time.Duration // the client must have taken unwritten; 0: nothing is
+	resume  time.Duration // wrong commands: nothing is read before; 0: no pause
+	endBy   time.Duration // the connection has been ended and closes then; 0: it has not
 
-// startWriter starts the writer with the first that it has to do: most
-// connections of bad clients never give it anything.
-func (c *client) startWriter() {
-	if !c.writing {
-		c.writing = true
-		go c.write()
-	}
+	stall *stall // its place among those that do not read
+
+	asked    bool // has sent a request that could be taken
+	timed    bool // readBy runs, for this command or the one before
+	readable bool // the socket may have more
+	ended    bool // the client sends nothing more
+	behind   bool // half may hold whole commands: they came while none was taken
+	queued   bool // is in front.again
+	soiled   bool // is in front.dirty
+	closing  bool // takes no further command, and ends when all is answered
 }
 
-// fill gives a slot its answer. It does not block.
-func (c *client) fill(s *slot, data []byte) {
-	c.mu.Lock()
-	if c.gone {
-		c.mu.Unlock()
-		return
-	}
-	c.server.loop.memory.force(len(data)) // until it is written
-	s.data, s.filled = data, true
-	first := len(c.pending) > 0 && c.pending[0] == s
-	c.mu.Unlock()
-	if first {
-		notify(c.wake)
+// soil notes that there may be something to write.
+func (c *client) soil() {
+	if !c.soiled {
+		c.soiled = true
+		c.front.dirty = append(c.front.dirty, c)
 	}
 }
 
-// push appends a slot. It returns false if the connection takes no more: the
-// command counts as not read, and the client sends it elsewhere.
-func (c *client) push(s *slot) bool {
-	for {
-		c.mu.Lock()
-		full := len(c.pending) >= mostPending && !c.gone
-		closing := c.closing
-		first := len(c.pending) == 0
-		if !full && !closing {
-			c.pending = append(c.pending, s)
-			c.asked = c.asked || s.request != nil
-			c.startWriter()
-		}
-		c.mu.Unlock()
-		if !full || closing {
-			if first && !closing {
-				c.server.standing(c)
-			}
-			return !closing
-		}
-		<-c.space
+// push appends a slot.
+func (c *client) push(s *slot) {
+	if c.last != nil {
+		c.last.next = s
+	} else {
+		c.first = s
 	}
+	c.last = s
+	c.pending++
 }
 
-// abandoned returns the requests that still waited for an answer.
-func (c *client) abandoned() (open []*request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.pending {
-		if s.request != nil && !s.filled {
-			open = append(open, s.request)
-		}
-		c.server.loop.memory.give(len(s.data))
-	}
-	c.pending = nil
-	return open
+// reply answers a command at once, in its order.
+func (c *client) reply(data []byte) {
+	c.front.loop.memory.force(len(data))
+	c.push(&slot{client: c, data: data, filled: true})
+	c.owe(len(data))
+	c.soil()
 }
 
-// read takes commands until the client leaves, or sends what can't be read.
-func (c *client) read() {
-	if err := c.take(); !errors.Is(err, errLeft) {
-		if !errors.Is(err, errEnds) {
-			c.refuse(err)
-		}
-		c.finish()
-	}
-	c.nc.Close()
-	c.mu.Lock()
-	c.gone = true
-	c.mu.Unlock()
-	notify(c.wake)
-	c.server.loop.post(func(l *loop) { l.gone(c) })
-	c.server.remove(c)
+// refuse answers what is no valid request.
+func (c *client) refuse(err error) { c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
+
+// fail tells the client what is wrong and ends the connection.
+func (c *client) fail(err error) {
+	c.refuse(err)
+	c.end()
 }
 
-// finish lets the writer send the answers still due: a connection that closes
-// under them loses requests. What the client sends meanwhile is not read, and
-// hardly after: at full speed it would cost the others their CPU.
-func (c *client) finish() {
-	c.mu.Lock()
+// end lets the answers still due be written, and then ends the connection: one
+// that closes under them loses requests. What the client sends meanwhile is not
+// read: at full speed it would cost the others their CPU.
+func (c *client) end() {
 	c.closing = true
-	due := c.writing && !c.evicted
-	c.mu.Unlock()
-	if due {
-		notify(c.wake)
-		<-c.written
-		io.CopyN(io.Discard, c.nc, lingerBytes)
-	}
+	c.readBy, c.resume = 0, 0
+	c.keep(nil)
+	c.soil()
+	c.arm()
 }
 
-// take starts the commands as they come.
-func (c *client) take() error {
-	buf := make([]byte, 0, readBuffer)
-	defer func() { c.server.loop.memory.give(cap(buf) - readBuffer) }()
-	// A client that says nothing, or half a command and no more, would keep
-	// its descriptor for good.
-	c.await(c.opened.Add(firstPatience))
-	timed := true
-	for {
-		n, err := c.nc.Read(buf[len(buf):cap(buf)])
-		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && !c.ends():
-			if len(buf) > 0 {
-				return errHalf
-			}
-			return errSilent
-		case err != nil:
-			return errLeft
+// takes tells whether a further command may be read.
+func (c *client) takes() bool {
+	return c.fd >= 0 && !c.closing && c.resume == 0 && c.pending < mostPending && c.unread < mostUnread
+}
+
+// pump reads and starts commands, for as long as there are any and it is this
+// connection's turn.
+func (c *client) pump() {
+	for turn := 0; c.fd >= 0; turn++ {
+		if c.endBy > 0 {
+			c.discard()
+			return
 		}
-		at := time.Now()
-		buf = buf[:len(buf)+n]
-		rest, err := c.commands(buf, at)
-		if err != nil {
-			return err
+		if !c.takes() {
+			break
 		}
-		if half := len(rest) > 0; half != c.half {
-			c.mu.Lock()
-			c.half = half
-			c.mu.Unlock()
-			c.server.standing(c)
+		if c.behind {
+			c.commands(nil)
+			if !c.takes() {
+				break
+			}
 		}
-		switch half := len(rest) > 0; {
-		case half && (!timed || len(rest) < len(buf)):
-			c.await(at.Add(halfPatience))
-			timed = true
-		case !half && timed:
-			c.await(time.Time{})
-			timed = false
+		if !c.readable {
+			break
 		}
-		if buf, err = c.refit(buf, rest); err != nil {
-			return err
+		if turn == readBatch {
+			if !c.queued {
+				c.queued = true
+				c.front.again = append(c.front.again, c)
+			}
+			break
 		}
+		c.read()
 	}
+	c.standing()
 }
 
-// refit makes a buffer of what is left of buf, with room to read on.
-func (c *client) refit(buf, rest []byte) ([]byte, error) {
-	memory := c.server.loop.memory
-	switch {
-	case len(rest) == 0 && cap(buf) > readBuffer:
-		memory.give(cap(buf) - readBuffer)
-		return make([]byte, 0, readBuffer), nil
-	case len(rest) == cap(buf):
-		size := min(2*cap(buf), maxMessage+readBuffer)
-		if !memory.take(size - cap(buf)) {
-			return buf, errNoMemory
+// read reads once, and starts the commands that are whole.
+func (c *client) read() {
+	buf := c.front.buf
+	if len(c.half) > 0 {
+		if len(c.half) == cap(c.half) && !c.grow() {
+			c.fail(errNoMemory)
+			return
 		}
-		return append(make([]byte, 0, size), rest...), nil
+		buf = c.half[len(c.half):cap(c.half)]
+	}
+	n, err := syscall.Read(c.fd, buf)
+	switch {
+	case err == syscall.EAGAIN:
+		c.readable = false
+		return
+	case err == syscall.EINTR:
+		return
+	case err != nil || n <= 0:
+		c.close() // the client is gone
+		return
+	}
+	// A short read has emptied the socket; what comes later is a new event.
+	c.readable = n == len(buf) || c.ended
+	c.readAt = c.front.now()
+	if len(c.half) > 0 {
+		c.half = c.half[:len(c.half)+n]
+		c.commands(nil)
+	} else {
+		c.commands(buf[:n])
 	}
-	return buf[:copy(buf[:cap(buf)], rest)], nil
 }
 
-// await lets the reader wait until then; the end of the connection goes before.
-func (c *client) await(until time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.closing {
-		c.nc.SetReadDeadline(until)
+// grow makes room in half to read on.
+func (c *client) grow() bool {
+	size := min(2*cap(c.half), maxMessage+leastHalf)
+	if size == cap(c.half) || !c.front.loop.memory.take(size-cap(c.half)) {
+		return false
 	}
+	c.half = append(make([]byte, 0, size), c.half...)
+	return true
 }
 
-func (c *client) ends() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
+// keep holds what is left of the commands read, in place of what was held.
+func (c *client) keep(rest []byte) bool {
+	memory := c.front.loop.memory
+	if len(rest) == 0 {
+		memory.give(cap(c.half))
+		c.half = nil
+		return true
+	}
+	if cap(c.half) >= len(rest) {
+		c.half = c.half[:copy(c.half[:cap(c.half)], rest)]
+		return true
+	}
+	size := max(leastHalf, len(rest))
+	if !memory.take(size - cap(c.half)) {
+		return false
+	}
+	c.half = append(make([]byte, 0, size), rest...)
+	return true
 }
 
-// commands starts all whole commands in buf and returns what is left.
-func (c *client) commands(buf []byte, at time.Time) (rest []byte, err error) {
-	for len(buf) > 0 {
+// commands starts all whole commands of what was read, which is in half where
+// read is nil, and keeps the rest.
+func (c *client) commands(read []byte) {
+	buf := read
+	if buf == nil {
+		buf = c.half
+	}
+	all := len(buf)
+	for len(buf) > 0 && c.takes() {
 		args, n, err := nextCommand(buf)
-		if err != nil || n == 0 {
-			return buf, err
-		}
-		buf = buf[n:]
-		if len(args) == 0 { // an empty array asks for nothing
-			continue
-		}
-		wrong, ok := c.command(args, n, at)
-		if !ok {
-			return nil, errEnds
-		}
-		if wrong == nil {
-			continue
+		if err != nil {
+			c.fail(err)
+			return
 		}
-		// Bounded for each connection, so that who sends nonsense as fast as
-		// it is turned away leaves the CPU to the others.
-		switch n := c.wrong.Add(1); {
-		case n >= mostWrong:
-			return nil, errWrong
-		case n > 1:
-			time.Sleep(wrongPause)
+		if n == 0 {
+			break
 		}
-		if !c.refuse(wrong) {
-			return nil, errEnds
+		buf = buf[n:]
+		if len(args) > 0 { // an empty array asks for nothing
+			c.command(args, n)
 		}
 	}
-	return nil, nil
+	if c.closing || c.fd < 0 {
+		return
+	}
+	c.behind = len(buf) > 0 && !c.takes()
+	// A client that says half a command and no more would keep its descriptor
+	// for good, and one that trickles is as bad: bytes buy no further time, whole
+	// commands do. One that waits for us is not to blame.
+	switch {
+	case len(buf) == 0 || c.behind:
+		c.readBy, c.timed = 0, false
+	case !c.timed || len(buf) < all:
+		c.readBy, c.timed = c.front.now()+halfPatience, true
+	}
+	if !c.keep(buf) {
+		c.fail(errNoMemory)
+		return
+	}
+	c.arm()
 }
 
-// command starts a command. It tells what is wrong with it, and whether the
-// connection takes it: otherwise it counts as not read.
-func (c *client) command(args [][]byte, size int, at time.Time) (wrong error, ok bool) {
+// command starts a command.
+func (c *client) command(args [][]byte, size int) {
+	owner, cfg := c.front.loop, c.front.cfg
 	if equalFold(args[0], "PING") {
-		if !c.server.loop.ready.Load() {
-			return nil, c.reply(redcon.AppendError(nil, "ERR no backend is known"))
+		if owner.ready.Load() {
+			c.reply(redcon.AppendString(nil, "PONG"))
+		} else {
+			c.reply(redcon.AppendError(nil, "ERR no backend is known"))
 		}
-		return nil, c.reply(redcon.AppendString(nil, "PONG"))
+		return
 	}
-	cmd, err := c.server.cfg.parseCommand(args)
+	cmd, err := cfg.parseCommand(args)
 	if err != nil {
-		return err, true
+		// Bounded for each connection, so that who sends nonsense as fast as it
+		// is turned away leaves the CPU to the others.
+		c.wrong++
+		if c.wrong >= mostWrong {
+			c.fail(errWrong)
+			return
+		}
+		if c.wrong > 1 {
+			c.resume = c.front.now() + wrongPause
+		}
+		c.refuse(err)
+		return
 	}
-	memory := c.server.loop.memory
-	if !memory.take(size) {
+	if !owner.memory.take(size) {
 		// Nothing has run; holding more would end the whole process.
-		return nil, c.reply(redcon.AppendError(nil, "BUSY"))
+		c.reply(redcon.AppendError(nil, "BUSY"))
+		return
 	}
 	cmd.args = own(args, size)
-	limit := min(cmd.limit, c.server.cfg.Choice.Classes[cmd.class].Deadline)
-	r := &request{command: cmd, size: size, from: c, deadline: at.Add(limit - min(answerMargin, limit/marginPart))}
-	r.slot = &slot{request: r}
-	if !c.push(r.slot) {
-		memory.give(size)
-		return nil, false
-	}
-	c.server.loop.post(func(l *loop) { l.request(r) })
-	return nil, true
+	limit := min(cmd.limit, cfg.Choice.Classes[cmd.class].Deadline)
+	at := owner.start.Add(c.readAt)
+	r := &request{command: cmd, size: size, deadline: at.Add(limit - min(answerMargin, limit/marginPart))}
+	r.slot = slot{client: c, request: r}
+	r.answer = &r.slot
+	c.asked = true
+	c.push(&r.slot)
+	owner.post(func(l *loop) { l.request(r) })
 }
 
 // own copies the parts out of the read buffer.
@@ -350,69 +345,267 @@
 	return args
 }
 
-func (c *client) reply(data []byte) bool {
-	if !c.push(&slot{data: data, filled: true}) {
-		return false
+// settle writes the answers that are due, in order, and ends the connection if
+// it is to end and nothing is left.
+func (c *client) settle() {
+	if c.fd < 0 {
+		return
 	}
-	c.server.loop.memory.force(len(data))
-	notify(c.wake)
-	return true
-}
-
-// refuse answers what is no valid request.
-func (c *client) refuse(err error) bool { return c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
-
-// write sends the answers in order.
-func (c *client) write() {
-	defer close(c.written)
-	var out []byte
-	for range c.wake {
-		c.mu.Lock()
-		out = out[:0]
-		n := 0
-		for n < len(c.pending) && c.pending[n].filled {
-			out = append(out, c.pending[n].data...)
-			n++
+	f := c.front
+	if len(c.unwritten) > 0 {
+		if !c.write(c.unwritten) {
+			return
+		}
+		c.writeBy = 0
+		f.held -= c.unread
+		f.stalled.remove(c)
+		c.arm()
+	}
+	for c.first != nil && c.first.filled {
+		out := f.out[:0]
+		for s := c.first; s != nil && s.filled && (len(out) == 0 || len(out)+len(s.data) <= sharedBuffer); s = c.first {
+			out = append(out, s.data...)
+			c.first = s.next
+			c.pending--
+		}
+		if c.first == nil {
+			c.last = nil
 		}
-		c.pending = c.pending[n:]
-		c.sending = n > 0
-		empty := len(c.pending) == 0
-		if empty {
-			c.pending = nil
-			c.closing = c.closing || c.drained
+		if f.out = out; cap(out) > 2*sharedBuffer {
+			f.out = nil
 		}
-		last, gone := empty && c.closing, c.gone
-		c.mu.Unlock()
-		notify(c.space)
-		if gone {
-			c.server.loop.memory.give(len(out))
+		if !c.write(out) {
 			return
 		}
-		if len(out) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-			_, err := c.nc.Write(out)
-			c.server.loop.memory.give(len(out))
-			c.mu.Lock()
-			c.sending, c.gone = false, c.gone || err != nil
-			c.mu.Unlock()
-			if empty {
-				c.server.standing(c)
-			}
-			if err != nil {
-				c.nc.Close() // the reader notices
-				notify(c.space)
-				return
+	}
+	if c.first == nil && (c.closing || f.draining) && c.endBy == 0 && (c.asked || c.closing || c.place.Leaving()) {
+		c.shut()
+		return
+	}
+	if c.readable || len(c.half) > 0 {
+		c.pump() // what was not taken while so much was due
+		return
+	}
+	c.standing()
+}
+
+// write writes b, and tells whether the client has taken all of it. What it
+// does not take now is held, by this connection alone; the others go on.
+func (c *client) write(b []byte) bool {
+	f := c.front
+	for len(b) > 0 {
+		n, err := syscall.Write(c.fd, b)
+		if n > 0 {
+			b = b[n:]
+			c.unread -= n
+			f.loop.memory.give(n)
+			if c.stall != nil {
+				f.held -= n
 			}
-			if cap(out) > maxMessage {
-				out = nil
+		}
+		switch {
+		case err == nil || err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			if c.stall != nil {
+				c.unwritten = b
+				return false
 			}
+			c.unwritten = append([]byte(nil), b...)
+			c.writeBy = f.now() + writeTimeout
+			f.stalled.add(c)
+			f.held += c.unread
+			c.arm()
+			c.bound()
+			return false
+		default:
+			c.close()
+			return false
+		}
+	}
+	c.unwritten = nil
+	return true
+}
+
+// owe takes note of an answer that is due.
+func (c *client) owe(n int) {
+	c.unread += n
+	if c.stall != nil {
+		c.front.held += n
+		c.bound()
+	}
+}
+
+// bound closes connections whose clients do not read, where they hold too much:
+// this one by its own bound, and the one that stalls for longest by that of all.
+// Their answers have failed, and are not kept for ever.
+func (c *client) bound() {
+	f := c.front
+	if c.unread > mostHeld {
+		c.close()
+	}
+	for int64(f.held) > f.loop.memory.most/heldPart && f.stalled.first != nil {
+		f.stalled.first.client.close()
+	}
+}
+
+// shut ends the connection for the client, and goes on reading for a moment, so
+// that what comes meanwhile does not turn the end into a reset that eats answers.
+func (c *client) shut() {
+	syscall.Shutdown(c.fd, syscall.SHUT_WR)
+	c.closing = true
+	c.keep(nil)
+	c.readBy, c.resume = 0, 0
+	c.endBy = c.front.now() + lingerTime
+	c.standing()
+	c.arm()
+	if c.readable {
+		c.discard()
+	}
+}
+
+// discard reads what comes behind the end.
+func (c *client) discard() {
+	for c.readable {
+		n, err := syscall.Read(c.fd, c.front.buf)
+		if err == syscall.EAGAIN {
+			c.readable = false
+			return
 		}
-		if last {
-			// The reader goes on for a moment, so that what the client sends
-			// meanwhile does not turn the end into a reset that eats answers.
-			c.nc.(*net.TCPConn).CloseWrite()
-			c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+		if c.discarded += max(0, n); n <= 0 && err != syscall.EINTR || c.discarded > lingerBytes {
+			c.close()
 			return
 		}
 	}
 }
+
+// standing tells the door whether anything is open on the connection; part of a
+// command is.
+func (c *client) standing() {
+	switch {
+	case c.fd < 0:
+	case c.first != nil, len(c.unwritten) > 0, len(c.half) > 0, c.closing:
+		c.front.door.Work(&c.place, c.asked)
+	default:
+		c.front.door.Rest(&c.place, c.front.now())
+	}
+}
+
+// dismiss closes the connection for the door. A command that crosses this counts
+// as not read, and the client sends it elsewhere.
+func (c *client) dismiss() {
+	if c.front.draining {
+		c.shut()
+		return
+	}
+	c.close()
+}
+
+// arm sets the timer to the first of the connection's deadlines.
+func (c *client) arm() {
+	at := time.Duration(0)
+	for _, by := range [...]time.Duration{c.readBy, c.writeBy, c.resume, c.endBy} {
+		if by > 0 && (at == 0 || by < at) {
+			at = by
+		}
+	}
+	if at > 0 && c.fd >= 0 {
+		c.front.wheel.Set(&c.timer, at)
+	} else {
+		c.front.wheel.Stop(&c.timer)
+	}
+}
+
+// expire takes the deadlines that are over.
+func (c *client) expire() {
+	now := c.front.now()
+	over := func(by *time.Duration) bool {
+		if *by == 0 || now < *by {
+			return false
+		}
+		*by = 0
+		return true
+	}
+	switch {
+	case over(&c.endBy), over(&c.writeBy):
+		c.close()
+		return
+	case over(&c.resume):
+		c.pump()
+	case over(&c.readBy):
+		if len(c.half) > 0 {
+			c.fail(errHalf)
+		} else {
+			c.fail(errSilent)
+		}
+		c.standing()
+	}
+	c.arm()
+}
+
+// close closes the connection and ends its open requests.
+func (c *client) close() {
+	f := c.front
+	if c.fd < 0 {
+		return
+	}
+	syscall.Close(c.fd)
+	f.clients[c.fd] = nil
+	f.count--
+	c.fd = -1
+	f.wheel.Stop(&c.timer)
+	f.door.Leave(&c.place)
+	if c.stall != nil {
+		f.stalled.remove(c)
+		f.held -= c.unread
+	}
+	f.loop.memory.give(c.unread)
+	c.unread, c.unwritten = 0, nil
+	c.keep(nil)
+	var open []*request
+	for s := c.first; s != nil; s = s.next {
+		if !s.filled && s.request != nil {
+			open = append(open, s.request)
+		}
+	}
+	c.first, c.last = nil, nil
+	if len(open) > 0 {
+		f.loop.post(func(l *loop) { l.gone(open) })
+	}
+}
+
+// stallList holds the connections whose clients do not read, the longest
+// stalled first.
+type stallList struct{ first, last *stall }
+
+type stall struct {
+	client     *client
+	prev, next *stall
+}
+
+func (l *stallList) add(c *client) {
+	s := &stall{client: c, prev: l.last}
+	if l.last != nil {
+		l.last.next = s
+	} else {
+		l.first = s
+	}
+	l.last, c.stall = s, s
+}
+
+func (l *stallList) remove(c *client) {
+	s := c.stall
+	if s == nil {
+		return
+	}
+	c.stall = nil
+	if s.prev != nil {
+		s.prev.next = s.next
+	} else {
+		l.first = s.next
+	}
+	if s.next != nil {
+		s.next.prev = s.prev
+	} else {
+		l.last = s.prev
+	}
+}
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -11,15 +11,18 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"curlewsail/choice"
 	"curlewsail/door"
+	"curlewsail/internal/config"
 	"curlewsail/internal/wire"
 )
 
@@ -34,11 +37,10 @@
 // runtime, the rest of the descriptors for discovery, listener and files.
 const (
 	heapShare      = 0.6
-	garbagePercent = 400 // the heap in use is small: trade memory for CPU
+	garbagePercent = 100 // more would show as memory that grows for minutes, until the first collection
 	clientShare    = 0.55
 	backendShare   = 0.35
-	usefulPart     = 3  // clients hold a third of the descriptors for requests
-	sparePart      = 16 // of the places for clients, so many are kept free
+	usefulPart     = 3 // clients hold a third of the descriptors for requests
 	defaultSockets = 1024
 	defaultMemory  = 192
 )
@@ -50,23 +52,22 @@
 	debug.SetGCPercent(garbagePercent)
 }
 
+// Held lowers the descriptors to what the process may have, if that is less.
+func (l Limits) Held() Limits {
+	var most syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &most); err == nil && most.Cur < uint64(l.Sockets) {
+		slog.Warn("the process may hold fewer descriptors than the configuration tells", "told", l.Sockets, "limit", most.Cur)
+		l.Sockets = int(most.Cur)
+	}
+	return l
+}
+
 func (l Limits) clients() int { return max(1, int(clientShare*float64(l.Sockets))) }
 
 // marks are the bounds of the door. Clients hold a third of the descriptors at
 // most for requests, and find no connection beyond: past half of that, those at
 // rest go sooner the fewer places are left.
-func (l Limits) marks() door.Marks {
-	places := l.clients()
-	useful := min(places, max(1, l.Sockets/usefulPart))
-	high := useful / 2
-	return door.Marks{
-		Places: places, Spare: places / sparePart,
-		Useful: useful, High: high, Low: high - high/8, Floor: high / 2,
-		RestMost: 2 * time.Second, RestLeast: 50 * time.Millisecond,
-		SilentMost: 250 * time.Millisecond, SilentLeast: 50 * time.Millisecond,
-		Batch: 64, Pause: time.Millisecond,
-	}
-}
+func (l Limits) marks() door.Marks { return door.Defaults(l.clients(), l.Sockets/usefulPart) }
 
 func (l Limits) backends() int { return max(1, int(backendShare*float64(l.Sockets))) }
 
@@ -79,6 +80,7 @@
 	Limits    Limits
 	Known     memberList
 	Choice    choice.Config
+	Own       config.Own // beyond the platform's configuration; empty without a file of our own
 
 	classes        map[string]int
 	plans          map[string]int
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -8,6 +8,7 @@
 	"github.com/tidwall/redcon"
 
 	"curlewsail/choice"
+	"curlewsail/internal/timewheel"
 )
 
 const (
@@ -17,8 +18,9 @@
 	answerMargin = 15 * time.Millisecond
 	marginPart   = 10 // at most this part of the time is kept back
 	probeTimeout = 250 * time.Millisecond
-	heldShare    = 6           // what is held for clients may take this part of the memory
-	idsMargin    = time.Second // ids are known for so long beyond the longest time of a request
+	gatewayTick  = 250 * time.Microsecond // resolution of the gateway's timers
+	heldShare    = 6                      // what is held for clients may take this part of the memory
+	idsMargin    = time.Second            // ids are known for so long beyond the longest time of a request
 )
 
 // An event is something that happened, told to the goroutine that owns the gateway.
@@ -39,6 +41,13 @@
 	lastID   uint32
 	ids      recentIDs
 	memory   *memory
+	wheel    *timewheel.Wheel[uint64] // the gateway's timers, by token
+}
+
+// answerer takes the one final answer of a request, from any goroutine, and does
+// not block. wrong tells that the request should not have been sent.
+type answerer interface {
+	Answer(data []byte, wrong bool)
 }
 
 // request is one try of a client, from its last byte to its final answer and
@@ -47,8 +56,8 @@
 	*command
 	id       uint32 // the gateway's: the clients' ids are longer
 	size     int
-	from     *client
-	slot     *slot
+	answer   answerer
+	slot     slot // the answer's place, where the client speaks RESP
 	deadline time.Time
 	over     bool // it has its final answer, or its client is gone
 	attempts []*attempt
@@ -58,7 +67,7 @@
 func newLoop(cfg *Config) (*loop, error) {
 	l := &loop{
 		cfg: cfg, start: time.Now(), events: make(chan event, eventBuffer), done: make(chan struct{}),
-		requests: map[uint32]*request{}, memory: &memory{most: int64(cfg.Limits.MemoryMB) << 20 / heldShare},
+		requests: map[uint32]*request{}, wheel: timewheel.New[uint64](gatewayTick), memory: &memory{most: int64(cfg.Limits.MemoryMB) << 20 / heldShare},
 	}
 	longest := time.Duration(0)
 	for _, c := range cfg.Choice.Classes {
@@ -88,13 +97,23 @@
 
 func (l *loop) run(stop <-chan struct{}) {
 	defer close(l.done)
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	var rings time.Duration // when the alarm does; -1 when it does not
 	for {
 		select {
 		case e := <-l.events:
 			e(l)
+		case <-alarm.C:
+			rings = -1
 		case <-stop:
 			return
 		}
+		l.wheel.Advance(l.now(), func(t *timewheel.Timer[uint64]) { l.gateway.Timer(l.now(), t.Owner) })
+		if at, any := l.wheel.Next(); any && (rings < 0 || at < rings) {
+			rings = at
+			alarm.Reset(at - l.now())
+		}
 	}
 }
 
@@ -112,8 +131,8 @@
 	now := l.now()
 	if !l.ids.add(r.name, now) {
 		// The copy of another's open request: its value belongs to that one alone.
-		r.from.wrong.Add(1)
-		l.answer(r, redcon.AppendError(nil, "ERR the request id is in use"))
+		r.over = true
+		r.answer.Answer(redcon.AppendError(nil, "ERR the request id is in use"), true)
 		l.forget(r)
 		return
 	}
@@ -157,9 +176,9 @@
 	}
 }
 
-// gone ends the open requests of a client that has left.
-func (l *loop) gone(c *client) {
-	for _, r := range c.abandoned() {
+// gone ends open requests whose client has left.
+func (l *loop) gone(open []*request) {
+	for _, r := range open {
 		if !r.over {
 			r.over = true
 			if len(r.attempts) == 0 {
@@ -203,7 +222,7 @@
 		return
 	}
 	r.over = true
-	r.from.fill(r.slot, data)
+	r.answer.Answer(data, false)
 }
 
 // members takes a list of backends from discovery.
@@ -316,7 +335,5 @@
 
 // After sets a timer.
 func (l *loop) After(wait time.Duration, token uint64) {
-	time.AfterFunc(wait, func() {
-		l.post(func(l *loop) { l.gateway.Timer(l.now(), token) })
-	})
+	l.wheel.Set(&timewheel.Timer[uint64]{Owner: token}, l.now()+wait)
 }
--- /dev/null
+++ b/internal/poll/poll.go
@@ -0,0 +1,166 @@
+//go:build linux
+
+// Package poll waits for many sockets on one goroutine: a thin layer over epoll.
+//
+// It exists for connections at rest. A goroutine that waits in net.Conn.Read
+// costs its stack, its buffer and the runtime's record of the descriptor, some
+// 3 KB together; a descriptor that is registered here costs none of that.
+//
+// The epoll descriptor itself is registered with the Go runtime's own poller
+// (one epoll may watch another), so that Wait parks a goroutine and blocks no
+// thread: with one processor for Go, as on the platform, a thread blocked in
+// epoll_wait would have to win that back for each event.
+package poll
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Event tells what a descriptor is ready for.
+type Event uint32
+
+// Parts of an Event. Ended means that the other side sends nothing more, Gone
+// that the connection has ended both ways.
+const (
+	Readable Event = syscall.EPOLLIN
+	Ended    Event = syscall.EPOLLRDHUP
+	Writable Event = syscall.EPOLLOUT
+	Gone     Event = syscall.EPOLLERR | syscall.EPOLLHUP
+)
+
+const (
+	edge  = 1 << 31 // EPOLLET, which package syscall has as a negative number
+	batch = 256     // events taken at a time
+)
+
+// Poller watches descriptors. Add and Wait belong to one goroutine; Wake may be
+// called from any.
+type Poller struct {
+	fd     int
+	file   *os.File
+	raw    syscall.RawConn
+	events [batch]syscall.EpollEvent
+
+	mu      sync.Mutex
+	woken   bool
+	parked  bool
+	until   time.Time // the deadline set on file
+	expired bool      // the deadline set on file is over: it was set to wake
+}
+
+// New makes a poller. It fails when descriptors have run out.
+func New() (*Poller, error) {
+	fd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	if err := syscall.SetNonblock(fd, true); err != nil { // or os.NewFile does not register it
+		syscall.Close(fd)
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	file := os.NewFile(uintptr(fd), "epoll")
+	raw, err := file.SyscallConn()
+	if err == nil {
+		err = file.SetReadDeadline(time.Time{}) // fails if it is not registered
+	}
+	if err != nil {
+		file.Close()
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	return &Poller{fd: fd, file: file, raw: raw}, nil
+}
+
+// Add watches a descriptor, for as long as it is open. Each change to readable
+// or writable is told once: the owner reads or writes until it would block. tag
+// comes back with each event; descriptors are used again, so it should tell an
+// event of a connection that has been closed from one of its successor.
+func (p *Poller) Add(fd int, tag int32) error {
+	e := syscall.EpollEvent{Events: uint32(Readable|Ended|Writable) | edge, Fd: int32(fd), Pad: tag}
+	if err := syscall.EpollCtl(p.fd, syscall.EPOLL_CTL_ADD, fd, &e); err != nil {
+		return fmt.Errorf("epoll: %w", err)
+	}
+	return nil
+}
+
+// Wait waits until there are events, Wake is called, or the time is over, and
+// hands the events on. The zero time waits without an end.
+func (p *Poller) Wait(until time.Time, handle func(fd int, tag int32, e Event)) error {
+	n, err := 0, error(nil)
+	if p.park(until) {
+		parked := p.raw.Read(func(uintptr) bool {
+			n, err = p.poll()
+			return n > 0 || err != nil
+		})
+		p.mu.Lock()
+		p.parked = false
+		p.mu.Unlock()
+		if parked != nil && !errors.Is(parked, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("epoll: %w", parked)
+		}
+	}
+	if n == 0 && err == nil { // woken, or at the end of the time: what there is counts all the same
+		n, err = p.poll()
+	}
+	if err != nil {
+		return err
+	}
+	for _, e := range p.events[:n] {
+		handle(int(e.Fd), e.Pad, Event(e.Events))
+	}
+	return nil
+}
+
+// park readies the wait, unless there is something to do already.
+func (p *Poller) park(until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.woken {
+		p.woken = false
+		return false
+	}
+	if p.expired || !until.Equal(p.until) {
+		p.file.SetReadDeadline(until)
+		p.until, p.expired = until, false
+	}
+	p.parked = true
+	return true
+}
+
+// poll takes the events that there are, without waiting.
+func (p *Poller) poll() (int, error) {
+	for {
+		n, err := syscall.EpollWait(p.fd, p.events[:], 0)
+		switch {
+		case err == syscall.EINTR:
+		case err != nil:
+			return 0, fmt.Errorf("epoll: %w", err)
+		default:
+			return n, nil
+		}
+	}
+}
+
+var longAgo = time.Unix(1, 0)
+
+// Wake ends the wait that is on, or the next one. Many calls count as one. It
+// moves the runtime's deadline and enters no kernel.
+func (p *Poller) Wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.parked {
+		if !p.expired {
+			p.file.SetReadDeadline(longAgo)
+			p.expired = true
+		}
+		return
+	}
+	p.woken = true
+}
+
+// Close ends the poller. The descriptors stay open.
+func (p *Poller) Close() { p.file.Close() }
