Drop what waits to be sent when its client has left, and see that at once

At fault: choice.cancelRest acts only with Cancelling (right for work that may run), and upstream.conn.send asks for drain and deadline, not whether the request is over; client.Ready kept an end for the next read. Now loop.withdraw drops what is not written whole, as moot, so that no backend is blamed (a cancelled dial counted as a failed connection); an end is taken from the event. Ruled out: waiting between attempts (there is no such state), and a reset (its event closed already).

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -141,7 +141,6 @@
 	asked    bool // has sent a request that could be taken
 	timed    bool // readBy runs, for this command or the one before
 	readable bool // the socket may have more
-	ended    bool // the client sends nothing more
 	behind   bool // half may hold whole commands: they came while none was taken
 	parting  bool // is in front.parting: its client has ended it
 	queued   bool // is in front.again
@@ -198,7 +197,7 @@
 
 // takes tells whether a further command may be read.
 func (c *client) takes() bool {
-	return c.net != nil && !c.closing && c.resume == 0 && c.pending < mostPending && c.unread < mostUnread
+	return c.net != nil && !c.closing && !c.parting && c.resume == 0 && c.pending < mostPending && c.unread < mostUnread
 }
 
 // pump reads and starts commands, for as long as there are any and it is this
@@ -250,7 +249,7 @@
 		return
 	}
 	// A short read has emptied the socket; what comes later is a new event.
-	c.readable = n == len(buf) || c.ended
+	c.readable = n == len(buf)
 	c.readAt = c.front.loop.Now()
 	if len(c.half) > 0 {
 		c.half = c.half[:len(c.half)+n]
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -119,22 +119,24 @@
 // Ready takes what happened on a connection.
 func (c *client) Ready(e reactor.Event) {
 	f := c.front
-	if e&(reactor.Gone|reactor.Ended) != 0 && c.place.Resting() {
-		// When thousands end at once, the events of the busy few stand among
-		// theirs: to close each as it comes would hold those up.
-		f.part(c)
-		return
-	}
-	if e&reactor.Gone != 0 {
-		c.close()
+	if e&(reactor.Gone|reactor.Ended) != 0 {
+		// Told by the event and not by a read: while nothing is read, for all that
+		// is due or for a pause, the end lies behind bytes that nobody waits for
+		// any more, and what waits would be sent on though its client has left.
+		if c.place.Resting() {
+			// When thousands end at once, the events of the busy few stand among
+			// theirs: to close each as it comes would hold those up.
+			f.part(c)
+		} else {
+			c.close()
+		}
 		return
 	}
 	if e&reactor.Writable != 0 && len(c.unwritten) > 0 {
 		c.soil()
 	}
-	if e&(reactor.Readable|reactor.Ended) != 0 {
+	if e&reactor.Readable != 0 {
 		c.readable = true
-		c.ended = c.ended || e&reactor.Ended != 0
 		c.pump()
 	}
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -203,6 +203,7 @@
 			if len(r.attempts) == 0 {
 				l.ids.remove(r.name) // nothing was sent on: it may come again
 			}
+			l.withdraw(r)
 			l.gateway.Gone(l.Now(), r.id)
 			l.forget(r)
 		}
@@ -210,6 +211,14 @@
 	l.settle()
 }
 
+// withdraw drops what a request that is over waits to send, whether or not the
+// settings let work be cancelled: what has not been written whole never ran.
+func (l *loop) withdraw(r *request) {
+	for _, a := range r.attempts {
+		l.pool.Withdraw(a)
+	}
+}
+
 // Ended takes the end of an attempt or a probe.
 func (l *loop) Ended(a *upstream.Attempt, reply upstream.Reply, elapsed time.Duration) {
 	defer l.settle()
@@ -273,6 +282,7 @@
 		return
 	}
 	r.over = true
+	l.withdraw(r) // a second copy that has not gone out yet
 	if o.body == nil {
 		l.figures.open--
 		l.figures.classes[r.class].count(o.kind)
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -58,6 +58,7 @@
 	Closed chan net.Conn // the ingress has ended it
 
 	handle func(Received)
+	stop   *stop // of a stopped one; else nil
 	ln     net.Listener
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -71,13 +72,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in backend: %w", err)
 	}
+	b := newBackend(ln, handle)
+	go b.accept()
+	return b, nil
+}
+
+func newBackend(ln net.Listener, handle func(Received)) *Backend {
 	b := &Backend{Addr: ln.Addr().String(), ln: ln, handle: handle, conns: map[net.Conn]struct{}{}}
 	if handle == nil {
 		b.Got = make(chan Received, backlog)
 		b.Opened, b.Closed = make(chan net.Conn, backlog), make(chan net.Conn, backlog)
 	}
-	go b.accept()
-	return b, nil
+	return b
 }
 
 func (b *Backend) accept() {
@@ -106,7 +112,7 @@
 }
 
 func (b *Backend) serve(nc net.Conn) {
-	commands := redcon.NewReader(nc)
+	commands := redcon.NewReader(b.stop.reader(nc))
 	for {
 		cmd, err := commands.ReadCommand()
 		if err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -274,6 +274,16 @@
 	}
 }
 
+// Withdraw drops an attempt of a request that is over, if its last byte has not
+// been written. It never ran, and that is no fault of its backend's: it ends as
+// moot. One that may have run goes on.
+func (p *Pool) Withdraw(a *Attempt) {
+	if c := a.conn; c != nil && !c.state.mayHaveRun() {
+		c.close()
+		p.end(a, Reply{Status: choice.Moot})
+	}
+}
+
 // end notes the outcome of an attempt.
 func (p *Pool) end(a *Attempt, r Reply) {
 	a.conn = nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -624,3 +624,39 @@
 		}
 	}
 }
+
+// What is withdrawn before its last byte is written never ran, and speaks against no backend; what was
+// written goes on.
+func TestWithdrawnAttemptsNeverRan(t *testing.T) {
+	for name, before := range map[string]func(*bench) *Attempt{
+		"connecting": func(b *bench) *Attempt { return b.begin("x") },
+		"no descriptor": func(b *bench) *Attempt {
+			b.near.Files = 1
+			b.do(func() { b.near.Dial("10.0.0.2:9", nil) }) // takes the only one
+			return b.begin("x")
+		},
+		"half written": func(b *bench) *Attempt {
+			a := b.begin(strings.Repeat("x", 1<<20))
+			b.run(2 * ms)
+			return a
+		},
+	} {
+		b := newBench(t)
+		a := before(b)
+		if b.written != 0 {
+			t.Fatalf("%s: it was written", name)
+		}
+		b.do(func() { b.Withdraw(a); b.Withdraw(a) })
+		b.want(choice.Moot)
+		if b.Open() != 0 {
+			t.Errorf("%s: %d connections stay", name, b.Open())
+		}
+	}
+	b := newBench(t)
+	a := b.begin("x")
+	b.run(5 * ms)
+	b.do(func() { b.Withdraw(a) })
+	b.want()
+	b.run(2 * patience)
+	b.want(choice.Timeout)
+}
