Follow the list by objects, and give a watch that does not begin one second

Seen in reading: discovery.watch split its stream by lines, so that an indented object was an error at its first line, for ever; a reset in the middle of an object gave its half to the parser; a complete list without members would have taken every backend out; and a watch begun in place of a silent one had the whole 4.5 s of silence again, 9.25 s together. Now a decoder takes objects from the stream; the first must be whole in listPatience, as must any that has begun; silence is 3 s, one line of 2 s and a half (protocol); a watch that lasted is begun anew without a pause; what is no list leaves the last in force and the whole is asked for anew. Tests over loopback: each fails on the code before ('waited in vain for revision 8', 'revision 9 is handed on, want 7'); -race. Not changed: the old address stays in force until a new one has told its list.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -1,11 +1,12 @@
 package ingress
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -13,13 +14,14 @@
 )
 
 const (
-	// watchSilence is two of the lines that come every 2 s and a little. What
-	// discovery has to tell counts as told after 6 s even if it never arrives,
-	// so a watch that was cut off must be noticed before that.
-	watchSilence = 4500 * time.Millisecond
-	watchRetry   = 250 * time.Millisecond
-	maxListLine  = 4 << 20
-	listPatience = time.Second // an agent that has a list answers at once
+	// watchSilence is one of the lines that come every 2 s and a half of the next.
+	// What discovery has to tell counts as told 6 s after a watch fell silent even
+	// if it never arrives: a watch that was cut off must be noticed before that,
+	// and room left for one that does not begin either, of listPatience.
+	watchSilence = 3 * time.Second
+	watchRetry   = 250 * time.Millisecond // between the beginnings of two tries
+	maxListLine  = 4 << 20                // bytes of one list
+	listPatience = time.Second            // an agent that has a list answers at once
 )
 
 // MemberList is a list of backends, or the changes to one, as discovery sends it.
@@ -131,10 +133,11 @@
 		return l, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
-		return l, fmt.Errorf("discovery: list: %w", err)
+	l, err = next(json.NewDecoder(io.LimitReader(resp.Body, maxListLine)))
+	if err == io.EOF {
+		err = fmt.Errorf("discovery: list: %w", io.ErrUnexpectedEOF)
 	}
-	return l, nil
+	return l, err
 }
 
 func (d *discovery) get(ctx context.Context, url string) (*http.Response, error) {
@@ -158,10 +161,12 @@
 func (d *discovery) run(ctx context.Context, started func()) {
 	var revision int64
 	for have := false; ctx.Err() == nil; {
+		begun := time.Now()
+		var err error
 		if !have {
-			l, err := d.list(ctx)
-			if have = err == nil; have {
-				revision = l.Revision
+			var l MemberList
+			if l, err = d.list(ctx); err == nil {
+				have, revision = true, l.Revision
 				d.deliver(l)
 			}
 			d.report(ctx, err)
@@ -171,14 +176,17 @@
 			}
 		}
 		if have {
-			var err error
-			if revision, err = d.watch(ctx, revision); err != nil {
-				d.report(ctx, err)
-			}
+			begun = time.Now()
+			revision, err = d.watch(ctx, revision)
+			d.report(ctx, err)
+			// What can't be read may have held a change: it is asked for anew, as a whole.
+			have = !errors.Is(err, errBroken)
 		}
+		// What discovery has counts as told though no watch is open: one that has
+		// lasted is begun anew at once, one that ends as soon as it begins is not.
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchRetry):
+		case <-time.After(watchRetry - time.Since(begun)):
 		}
 	}
 }
@@ -200,30 +208,94 @@
 func (d *discovery) watch(ctx context.Context, revision int64) (int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// A connection that was cut off stays open and silent for ever: only the
-	// missing empty lines tell.
-	alarm := time.AfterFunc(d.silence, cancel)
+	// A connection that was cut off stays open and silent for ever: only what
+	// does not come tells. The first object comes at once, whatever there is to tell.
+	alarm := time.AfterFunc(d.patience, cancel)
 	defer alarm.Stop()
 	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.base, revision))
 	if err != nil {
 		return revision, err
 	}
 	defer resp.Body.Close()
-	d.report(ctx, nil)
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxListLine)
-	for lines.Scan() {
-		alarm.Reset(d.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+	stream := &stream{from: resp.Body, alarm: alarm, silence: d.silence, patience: d.patience, within: true}
+	objects := json.NewDecoder(stream)
+	for {
+		l, err := next(objects)
+		if err == io.EOF {
+			return revision, nil
 		}
-		var l MemberList
-		if err := json.Unmarshal(line, &l); err != nil {
-			return revision, fmt.Errorf("discovery: watch: %w", err)
+		if err != nil {
+			return revision, err
 		}
+		d.report(ctx, nil)
+		stream.whole(objects.Buffered())
 		revision = l.Revision
 		d.deliver(l)
 	}
-	return revision, lines.Err()
+}
+
+// errBroken tells of an answer that is no list. The last one stays in force.
+var errBroken = errors.New("discovery: not a list")
+
+// next takes the next list off a stream. One that is cut off in its middle is
+// lost with its connection, not broken.
+func next(objects *json.Decoder) (l MemberList, err error) {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch err := objects.Decode(&l); {
+	case err == io.EOF:
+		return l, err
+	case errors.As(err, &syntax), errors.As(err, &kind), errors.Is(err, errLong):
+		return l, fmt.Errorf("%w: %w", errBroken, err)
+	case err != nil:
+		return l, fmt.Errorf("discovery: %w", err)
+	case l.Members == nil: // all that is left out would be taken for gone
+		return l, fmt.Errorf("%w: no members", errBroken)
+	}
+	return l, nil
+}
+
+var errLong = errors.New("it has no end")
+
+// stream reads a watch. Objects may come indented, on one line or on many; empty
+// lines tell that the connection lives. It sets the alarm off when nothing has
+// come for the time of silence, or when an object that has begun is not whole in
+// the time of patience: bytes that trickle tell nothing.
+type stream struct {
+	from              io.Reader
+	alarm             *time.Timer
+	silence, patience time.Duration
+	within            bool // an object has begun; from the start on the first is waited for
+	size              int  // bytes since the last one
+}
+
+func (s *stream) Read(b []byte) (int, error) {
+	n, err := s.from.Read(b)
+	s.took(b[:n])
+	if s.size > maxListLine {
+		return 0, errLong
+	}
+	return n, err
+}
+
+// took notes what has come behind the last object.
+func (s *stream) took(b []byte) {
+	switch blank := len(bytes.TrimSpace(b)) == 0; {
+	case s.within:
+		s.size += len(b)
+	case !blank:
+		s.within, s.size = true, len(b)
+		s.alarm.Reset(s.patience)
+	case len(b) > 0:
+		s.alarm.Reset(s.silence)
+	}
+}
+
+// whole notes that an object is whole. What has been read behind it may be part
+// of the next.
+func (s *stream) whole(behind io.Reader) {
+	s.within, s.size = false, 0
+	s.alarm.Reset(s.silence)
+	rest, _ := io.ReadAll(behind) // it lies in memory
+	s.took(rest)
 }
