Answer all that a stop took: empty the queue, read no more past half a second

Seen by forcing it over loopback, on the code before: a client that goes on sending on one connection got 31 answers to the 159 requests that were taken, as a connection that is never between requests was never ended, and the process ended 150 ms after the longest deadline from then; connections in the listener's queue were reset with their requests when it closed; a request that had come while the last answer was being written was dropped, and so was all that came within the 200 ms behind the end (shut and discard read it). At fault: front.closeListener, client.settle (asked c.readable, not the socket), client.shut and discard, Server.Serve. Now the queue is taken before the listener ends (not of an inherited socket, whose next holder takes it), Finish ends the reading 50 ms later, so that all that was read has its whole deadline within the longest deadline and 700 ms (protocol), a drain looks at the socket before it ends a connection, and what crosses the end stays unread: such a request its client sends anew (protocol). Tests: TestStopTakesTheConnectionsThatWait, TestRequestThatCrossesTheLastAnswerIsTaken and TestStopAnswersAllItTookFromThoseWhoGoOn fail on the code before, -race -count=20 green; the simulated installations' drains do the same, green.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -15,8 +15,7 @@
 
 const (
 	writeTimeout  = 5 * time.Second         // for a client to read on, once it does not
-	lingerTime    = 200 * time.Millisecond  // to read what crosses the end of a connection
-	lingerBytes   = 64 << 10                // and so much of it
+	lingerTime    = 200 * time.Millisecond  // for a client to end a connection that was ended for it
 	mostPending   = 128                     // open requests on one connection
 	firstPatience = 2200 * time.Millisecond // for the first command on a connection
 	halfPatience  = 2 * time.Second         // for the rest of one that has begun
@@ -128,7 +127,6 @@
 	half        []byte // what has been read of a command that is not whole, or is not to be taken yet
 	unwritten   []byte // what its client did not take of the answers last written
 	unread      int    // bytes of answers that are due or unwritten
-	discarded   int    // bytes read after the end
 
 	readAt  time.Duration // when half was last read
 	readBy  time.Duration // the first command, or the rest of one, must be here; 0: no bound
@@ -146,6 +144,7 @@
 	queued   bool // is in front.again
 	soiled   bool // is in front.dirty
 	closing  bool // takes no further command, and ends when all is answered
+	deaf     bool // reads nothing more: what has been read is all that it takes
 }
 
 // soil notes that there may be something to write.
@@ -205,7 +204,6 @@
 func (c *client) pump() {
 	for turn := 0; c.net != nil; turn++ {
 		if c.endBy > 0 {
-			c.discard()
 			return
 		}
 		if !c.takes() {
@@ -217,7 +215,7 @@
 				break
 			}
 		}
-		if !c.readable {
+		if !c.readable || c.deaf {
 			break
 		}
 		if turn == readBatch {
@@ -423,7 +421,7 @@
 		}
 	}
 	// What has come already is not lost to the end that follows.
-	if c.first == nil && !c.closing && (c.behind || c.readable) {
+	if c.first == nil && !c.closing && (c.behind || c.readable || f.draining && c.speaks()) {
 		c.pump()
 		if c.first != nil || c.net == nil {
 			return
@@ -497,8 +495,10 @@
 	}
 }
 
-// shut ends the connection for the client, and goes on reading for a moment, so
-// that what comes meanwhile does not turn the end into a reset that eats answers.
+// shut ends the connection for the client, and keeps its end for a moment: closed
+// at once, what comes meanwhile would turn it into a reset that eats answers. None
+// of that is read. A request that crosses the end of its connection unread is sent
+// anew by its client; one that was read would be taken, and lost.
 func (c *client) shut() {
 	c.net.CloseWrite()
 	c.closing = true
@@ -507,23 +507,18 @@
 	c.endBy = c.front.loop.Now() + lingerTime
 	c.standing()
 	c.arm()
-	if c.readable {
-		c.discard()
-	}
 }
 
-// discard reads what comes behind the end.
-func (c *client) discard() {
-	for c.readable {
-		n, err := c.net.Read(c.front.buf)
-		if errors.Is(err, reactor.ErrWait) {
-			c.readable = false
-			return
-		}
-		if c.discarded += n; err != nil || c.discarded > lingerBytes {
-			c.close()
-			return
-		}
+// finish reads what has come, and then no more: the connection ends behind the
+// answers to all that was read.
+func (c *client) finish() {
+	if c.net == nil || c.closing {
+		return
+	}
+	c.speaks()
+	c.pump()
+	if c.deaf = true; c.net != nil && !c.closing && !c.behind {
+		c.end()
 	}
 }
 
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"wickarch/internal/standin"
 )
@@ -80,3 +81,112 @@
 		}
 	}
 }
+
+// Connections that wait in the listener's queue are taken before it ends, also
+// where the door has no room: their requests would be reset with them.
+func TestStopTakesTheConnectionsThatWait(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	places := r.server.front.door
+	held := r.dial() // in the only place
+	held.send("PING")
+	held.want("+PONG")
+	r.eventually("the other connection to be gone", func(*loop) bool { return len(r.server.front.clients) == 1 })
+	var clients []*fakeClient
+	r.ask(func(l *loop) { // nothing is taken meanwhile
+		if places.Shrink(); places.Room() {
+			t.Error("the door has room")
+		}
+		for range 5 {
+			c := r.dial()
+			c.send("Q.ASK", anyone, newID(), lookup)
+			clients = append(clients, c)
+		}
+		r.server.Drain()
+		r.server.CloseListener()
+	})
+	for range clients {
+		wait(t, "a request that waited", b.Got).Answer("v")
+	}
+	for _, c := range clients {
+		c.want("$1\r\nv")
+		c.wantEnd()
+	}
+}
+
+// A request that has come before the end of its connection is taken, whatever
+// the poller has told by then.
+func TestRequestThatCrossesTheLastAnswerIsTaken(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	c := r.dial()
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	wait(t, "the request", b.Got)
+	next := newID()
+	r.ask(func(l *loop) { // the answer is written in the round in which the next request comes
+		c.send("Q.DO", anyone, next, payment, "BODY")
+		r.server.Drain()
+		for _, open := range l.requests {
+			l.answer(open, outcome{kind: failed})
+		}
+		l.settle()
+	})
+	c.want("-ERR failed")
+	got := wait(t, "the next request", b.Got)
+	if got.ID() != next {
+		t.Fatalf("the backend got %s, want the next request", got.ID())
+	}
+	got.Answer("v")
+	c.want("$1\r\nv")
+	c.wantEnd()
+}
+
+// Clients go on sending for as long as a connection stays open, and backends may
+// hang. All that was taken is answered before the process ends, and the rest is
+// left unread.
+func TestStopAnswersAllItTookFromThoseWhoGoOn(t *testing.T) {
+	hangs := newBackend(t)
+	r := newRig(t, func(cfg *Config) {
+		cfg.Choice.Probing = false
+		for i := range cfg.Choice.Classes {
+			cfg.Choice.Classes[i].Deadline, cfg.Choice.Classes[i].Aim = time.Second, 300*time.Millisecond
+		}
+	}, hangs.member("b"))
+	r.server.late = func() {}
+	c := r.dial()
+	first := newID()
+	c.send("Q.DO", anyone, first, payment, "BODY")
+	if got := wait(t, "the request", hangs.Got); got.ID() != first {
+		t.Fatal("another request came")
+	}
+	go func() {
+		for {
+			select {
+			case <-hangs.Got:
+			case <-hangs.Opened:
+			case <-hangs.Closed:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	go func() { // until the connection is gone
+		for c.c.Send("Q.DO", anyone, newID(), payment, "BODY") == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	r.stop()
+	answers := uint32(0)
+	for {
+		if _, err := c.c.Line(); err != nil {
+			break
+		}
+		answers++
+	}
+	if err := wait(t, "the end", r.ended); err != nil {
+		t.Error(err)
+	}
+	if took := r.server.loop.lastID; answers != took {
+		t.Errorf("%d answers to the %d requests that were taken", answers, took)
+	}
+}
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"wickarch/door"
@@ -279,10 +280,28 @@
 	f.door.Resume()
 }
 
-// closeListener ends the taking of connections.
+// closeListener ends the taking of connections. Those that wait in its queue are
+// taken before, room or not: the end of the listener would reset them, with the
+// requests that may lie in them. On an inherited socket they wait for whoever
+// holds it next.
 func (f *front) closeListener() {
-	if f.ln != nil {
-		f.ln.Close()
-		f.ln = nil
+	if f.ln == nil {
+		return
+	}
+	if f.cfg.Passed == "" && !f.waits {
+		for nc, err := f.ln.Accept(); err == nil; nc, err = f.ln.Accept() {
+			f.add(nc, f.loop.Now())
+		}
+	}
+	f.ln.Close()
+	f.ln = nil
+}
+
+// finish ends the taking of requests: what has come whole by now is answered, and
+// then each connection ends. What is taken later could not be answered in full
+// before the process has to be gone, and clients send for as long as they may.
+func (f *front) finish() {
+	for _, c := range slices.Clone(f.clients) {
+		c.finish()
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,6 +13,7 @@
 
 const (
 	acceptAfterStop = 450 * time.Millisecond // clients connect for a while after SIGTERM
+	lastRequests    = 50 * time.Millisecond  // for the first request on those that connected last
 	lastAnswers     = 150 * time.Millisecond // to write what became due last
 )
 
@@ -71,6 +72,9 @@
 // CloseListener ends the taking of connections.
 func (i *Ingress) CloseListener() { i.front.closeListener() }
 
+// Finish ends the taking of requests, on all connections.
+func (i *Ingress) Finish() { i.front.finish() }
+
 // Takes tells whether this process takes clients.
 func (i *Ingress) Takes() bool { return i.loop.ready && !i.front.draining && i.front.ln != nil }
 
@@ -164,7 +168,9 @@
 
 // Serve runs the ingress until ctx ends. It then goes on accepting for the
 // time in which clients still come, answers all that it has taken, closes each
-// connection between requests, and returns.
+// connection between requests, and returns. A platform kills it no sooner than the
+// longest deadline and 700 ms later, so what is taken until acceptAfterStop and
+// lastRequests are over has its whole deadline.
 func (s *Server) Serve(ctx context.Context) error {
 	failed := make(chan error, 1)
 	empty := s.front.empty
@@ -214,6 +220,12 @@
 		s.claim.Release()
 	}
 	select {
+	case <-empty:
+		return nil
+	case <-time.After(lastRequests):
+	}
+	s.loop.Do(s.Finish)
+	select {
 	case <-empty:
 	case <-time.After(longest + lastAnswers):
 	}
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -408,6 +408,7 @@
 
 const (
 	acceptAfterStop = 450 * ms                 // as ingress.Server has it
+	lastRequests    = 50 * ms                  // likewise
 	longest         = 900 * ms                 // deadline of a class
 	mostEnding      = longest + 150*ms + bench // from the end of accepting
 )
@@ -427,6 +428,11 @@
 			return // killed meanwhile
 		}
 		loop.Post(in.CloseListener)
+		g.net.After(lastRequests, func() {
+			if g.node.Loop == loop {
+				loop.Post(in.Finish)
+			}
+		})
 		until := g.net.Now() + mostEnding
 		var look func()
 		look = func() {
