Keep keyed repeats in a zone that is known, and whole within their window

Seen in reading, then forced. choice.allowed let a keyed request that may have run go to any backend of zone -1 where repeats are dropped by zone: all zones that the settings do not name, and backends that tell none, have that number (index in ingress.loop), so that it could run twice. A guarded class with no dedup_scope in the settings was taken for one whose repeats are dropped everywhere. A keyed repeat begun within its window was written on past it, and a backend begins with the last byte (upstream.conn: the window was asked for the first byte alone). Now zone -1 is no zone; dedup_scope must be there (the start fails and names it); an attempt ends as never run when its last byte is not written within its window. TestKeyedRepeatStaysInAZoneThatIsKnown ('there is a repeat in a zone that is not known'), TestSettings and TestAttemptHalfWrittenPastItsTimeNeverRuns ('outcomes [], want [4]') fail without.

--- a/choice/api.go
+++ b/choice/api.go
@@ -104,7 +104,7 @@
 // Backend is one line of the list of backends.
 type Backend struct {
 	ID      uint32
-	Zone    int
+	Zone    int // below 0: not known
 	Kind    int
 	Cell    int
 	State   State
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -701,7 +701,7 @@
 		return false
 	case Guarded:
 		return g.now-a.sent < cl.Window && (cl.Group == GroupAll ||
-			cl.Group == GroupZone && b.Zone == a.to.Zone ||
+			cl.Group == GroupZone && b.Zone == a.to.Zone && b.Zone >= 0 ||
 			cl.Group == GroupCell && b.Cell == a.to.Cell)
 	}
 	return true
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -117,7 +117,7 @@
 		case choice.SingleShot:
 			k.breach(2, "request %d may have run and is sent again", id)
 		case choice.Guarded:
-			inside := cl.Group == choice.GroupAll || cl.Group == choice.GroupZone && first.to.Zone == b.Zone ||
+			inside := cl.Group == choice.GroupAll || cl.Group == choice.GroupZone && first.to.Zone == b.Zone && b.Zone >= 0 ||
 				cl.Group == choice.GroupCell && first.to.Cell == b.Cell
 			if !inside || k.now-first.at > cl.Window {
 				k.breach(2, "request %d is sent again outside its group or window", id)
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"wickarch/choice"
 	"wickarch/internal/standin"
 )
 
@@ -190,3 +191,39 @@
 		t.Errorf("%d answers to the %d requests that were taken", answers, took)
 	}
 }
+
+// Where repeats are dropped within a zone, one that may have run goes to that zone
+// alone. Two backends of zones that the settings do not name need not share one.
+func TestKeyedRepeatStaysInAZoneThatIsKnown(t *testing.T) {
+	for zone, again := range map[string]bool{"a": true, "beyond": false, "": false} {
+		one, two := newBackend(t), newBackend(t)
+		members := []Member{one.member("1"), two.member("2")}
+		for i := range members {
+			members[i].Locality = zone
+		}
+		r := newRig(t, func(cfg *Config) {
+			cl := &cfg.Choice.Classes[1]
+			cl.Effect, cl.Group, cl.Window = choice.Guarded, choice.GroupZone, time.Hour
+			cfg.Choice.Probing = false
+		}, members...)
+		c := r.dial()
+		c.send("Q.DO", anyone, newID(), payment, "BODY")
+		other := two
+		select {
+		case got := <-one.Got:
+			got.Reset()
+		case got := <-two.Got:
+			other = one
+			got.Reset()
+		}
+		if again {
+			wait(t, "a repeat in the zone", other.Got).Answer("v")
+			c.want("$1\r\nv")
+			continue
+		}
+		if got := c.line(); got != "-ERR failed" {
+			t.Errorf("zone %q: answer %q, want a failure", zone, got)
+		}
+		idle(t, "a repeat in a zone that is not known", other.Got)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -104,13 +104,13 @@
 	// while the attempt waited for its connection must get nothing new.
 	// One that waited past the time for which it was decided goes no more, either.
 	now := p.loop.Now()
-	if c.to.stopped || a.Before > 0 && now >= a.Before || now >= a.Deadline {
+	if c.to.stopped || now >= a.until() {
 		c.fail(choice.ConnectFailed)
 		return
 	}
 	p.out = a.Message.AppendTo(p.out[:0], a.Deadline-now)
 	c.state = writing
-	p.loop.Set(&c.timer, a.Deadline)
+	p.loop.Set(&c.timer, a.until())
 	c.write(p.out)
 	if cap(p.out) > 2*sharedBuffer {
 		p.out = nil
@@ -123,6 +123,9 @@
 	switch {
 	case err == nil:
 		c.rest, c.state = nil, written
+		if c.attempt.Before > 0 {
+			c.pool.loop.Set(&c.timer, c.attempt.Deadline)
+		}
 		c.pool.sink.Written(c.attempt)
 	case errors.Is(err, reactor.ErrWait):
 		if len(c.rest) == 0 {
@@ -152,7 +155,7 @@
 		}
 		c.send()
 	case writing:
-		if e&(reactor.Gone|reactor.Readable|reactor.Ended) != 0 {
+		if e&(reactor.Gone|reactor.Readable|reactor.Ended) != 0 || c.pool.loop.Now() >= c.attempt.until() {
 			// An answer to half a request is nobody's.
 			c.fail(choice.ConnectFailed)
 			return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -50,7 +50,7 @@
 type Attempt struct {
 	Message    Message
 	Deadline   time.Duration // on the reactor's clock
-	Before     time.Duration // its first byte must be written before then; 0: no such bound
+	Before     time.Duration // its last byte must be written before then; 0: no such bound
 	Repeatable bool          // may run twice
 	Backend    uint32
 	Number     int // of the request's attempts
@@ -64,6 +64,14 @@
 	kept    bool          // on one that was kept
 }
 
+// until is when its last byte must be written.
+func (a *Attempt) until() time.Duration {
+	if a.Before > 0 {
+		return min(a.Before, a.Deadline)
+	}
+	return a.Deadline
+}
+
 // Sink is told what the pool can't decide.
 type Sink interface {
 	// Ended tells the outcome of an attempt, once for each. Its connection is
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -660,3 +660,25 @@
 	b.run(2 * patience)
 	b.want(choice.Timeout)
 }
+
+// A backend begins with the last byte: a repeat that is dropped for a time only must be
+// whole before that is over, not only begun.
+func TestAttemptHalfWrittenPastItsTimeNeverRuns(t *testing.T) {
+	b := newBench(t)
+	a := &Attempt{Message: say(strings.Repeat("x", 1<<20)), Backend: 1, Deadline: b.near.Now() + patience, Before: b.near.Now() + 3*ms}
+	b.do(func() { b.Start(a) })
+	b.run(2 * ms)
+	if len(b.far.conns) != 1 || len(b.far.conns[0].got) == 0 {
+		t.Fatal("it has not begun")
+	}
+	b.run(patience / 2)
+	b.want(choice.ConnectFailed)
+	if b.written != 0 {
+		t.Error("it was written whole")
+	}
+	whole := &Attempt{Message: say("x"), Backend: 1, Deadline: b.near.Now() + patience, Before: b.near.Now() + 3*ms}
+	b.do(func() { b.Start(whole) })
+	b.run(10 * ms) // its answer may come later
+	b.reply(b.far.conns[1], answer("v"))
+	b.want(choice.OK)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -97,6 +97,9 @@
 		if !ok {
 			return cfg, false, fmt.Errorf("settings: class %d: effect %q is unknown", i, c.Effect)
 		}
+		if effect == choice.Guarded && c.Group == "" { // taken for all, repeats would run twice
+			return cfg, false, fmt.Errorf("settings: class %d: dedup_scope is missing", i)
+		}
 		group, ok := groups[c.Group]
 		if !ok {
 			return cfg, false, fmt.Errorf("settings: class %d: group %q is unknown", i, c.Group)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -178,7 +178,7 @@
 		t.Errorf("settings read as %+v", cfg)
 	}
 	for _, bad := range []string{"", "{", `{"request_classes": [{"effect": "odd"}]}`,
-		`{"request_classes": [{"effect": "free", "dedup_scope": "odd"}]}`} {
+		`{"request_classes": [{"effect": "guarded", "window_ms": 50}]}`, `{"request_classes": [{"effect": "free", "dedup_scope": "odd"}]}`} {
 		if _, _, err := ParseConfig([]byte(bad)); err == nil || !strings.Contains(err.Error(), "settings") {
 			t.Errorf("settings %q gave %v, want an error that says so", bad, err)
 		}
