Let a slow reader have its last answer, though it sends more behind the end

Seen when what crosses the end of a connection was left unread: a close with something unread resets, and takes back what a client that reads slowly has not been delivered yet. Ruled out: reading before the close, as a request that was read counts as taken.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -133,6 +133,7 @@
 	writeBy time.Duration // the client must have taken unwritten; 0: nothing is
 	resume  time.Duration // wrong commands: nothing is read before; 0: no pause
 	endBy   time.Duration // the connection has been ended and closes then; 0: it has not
+	endedAt time.Duration // when it has been
 
 	stall *list.Element // its place among those that do not read
 
@@ -504,7 +505,8 @@
 	c.closing = true
 	c.keep(nil)
 	c.readBy, c.resume = 0, 0
-	c.endBy = c.front.loop.Now() + lingerTime
+	c.endedAt = c.front.loop.Now()
+	c.endBy = c.endedAt + lingerTime
 	c.standing()
 	c.arm()
 }
@@ -583,7 +585,16 @@
 		return true
 	}
 	switch {
-	case over(&c.endBy), over(&c.writeBy):
+	case over(&c.endBy):
+		// One that reads slowly has not got its answers yet. What crossed the end lies
+		// unread, and to close on it drops what is still to be sent.
+		if c.net.Unsent() && now-c.endedAt < writeTimeout {
+			c.endBy = now + lingerTime
+			break
+		}
+		c.close()
+		return
+	case over(&c.writeBy):
 		c.close()
 		return
 	case over(&c.resume):
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -227,3 +229,37 @@
 		idle(t, "a repeat in a zone that is not known", other.Got)
 	}
 }
+
+// A client that reads slowly gets all of its last answer, though it has sent more:
+// an end with something unread would take back what is not delivered yet.
+func TestSlowReaderGetsItsLastAnswerThoughItSendsOn(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	nc, err := dialer.Dial("tcp", r.server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	c := &fakeClient{t, nc, bufio.NewReader(nc), nil}
+	c.c = &standin.Client{Conn: nc, In: c.in}
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	got := wait(t, "the request", b.Got)
+	r.ask(func(*loop) { r.server.Drain() })
+	value := strings.Repeat("v", 60_000)
+	got.Answer(value)
+	r.eventually("the end of the connection", func(*loop) bool {
+		clients := r.server.front.clients
+		return len(clients) == 1 && clients[0].endBy > 0
+	})
+	c.send("Q.DO", anyone, newID(), payment, "BODY") // crosses the end
+	r.eventually("the time for it to be over", func(*loop) bool {
+		clients := r.server.front.clients
+		return len(clients) == 0 || clients[0].endBy > clients[0].endedAt+lingerTime
+	})
+	c.want(fmt.Sprintf("$%d\r\n%s", len(value), value))
+	idle(t, "the request that crossed the end", b.Got)
+}
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -54,6 +54,9 @@
 	// Pending looks whether there is something to read, an end among it,
 	// whatever events have told.
 	Pending() bool
+	// Unsent tells whether bytes that were written are still on their way to the
+	// other side's machine: a Close with something unread would drop them.
+	Unsent() bool
 	// CloseWrite ends the sending alone.
 	CloseWrite()
 	// Close ends the connection. No event is told of it any more.
--- a/internal/reactor/simnet/conn.go
+++ b/internal/reactor/simnet/conn.go
@@ -226,6 +226,9 @@
 	})
 }
 
+// Unsent tells whether something is on its way.
+func (c *conn) Unsent() bool { return !c.closed && len(c.sending) > 0 }
+
 func (c *conn) Pending() bool { return c.closed || len(c.in) > 0 || c.ended || c.wasReset }
 
 func (c *conn) Write(b []byte) (int, error) {
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -174,6 +174,14 @@
 	return e != syscall.EAGAIN
 }
 
+// Unsent asks for the send queue: what the other side's kernel has not
+// acknowledged is in it. Where that can't be told, nothing is.
+func (k *socket) Unsent() bool {
+	var n int32
+	_, _, e := syscall.RawSyscall(syscall.SYS_IOCTL, uintptr(k.fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	return e == 0 && n > 1 // our own end counts as one
+}
+
 func (k *socket) CloseWrite() { syscall.Shutdown(k.fd, syscall.SHUT_WR) }
 
 func (k *socket) Close() {
