--- a/cmd/quotas/main.go
+++ b/cmd/quotas/main.go
@@ -94,19 +94,22 @@
 func main() {
 	seeds := flag.Uint64("seeds", 1, "seeds to play")
 	lasts := flag.Duration("for", 30*time.Second, "time of load")
+	lag := flag.Duration("lag", 250*ms, "how late the oracle sees the true stores")
 	flag.Parse()
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
 	for _, n := range []int{3, 30, 300} {
 		for seed := range *seeds {
-			f, err := emulate.Run(fleet(n, seed+1, *lasts))
+			spec := fleet(n, seed+1, *lasts)
+			spec.OracleLag = *lag
+			f, err := emulate.Run(spec)
 			if err != nil {
 				fmt.Fprintln(os.Stderr, "quotas:", err)
 				os.Exit(1)
 			}
 			part := func(a, b int) float64 { return float64(a) / float64(max(b, 1)) }
-			fmt.Fprintf(out, "%d gateways, seed %d\tworth %.3f\trefused with room %.3f\tbeyond %.3f\tcost beyond %.3f\tceiling least %.1f\n", n, seed+1,
-				f.Worth(), part(f.RefusedWithRoom, f.Tries), part(f.Beyond, f.Passed), f.BeyondWorth/f.Inside, f.CeilingLeast)
+			fmt.Fprintf(out, "%d gateways, seed %d\tworth %.3f\trefused with room %.3f\tbeyond %.3f\tcost beyond %.3f\tan oracle's %.3f\tceiling least %.1f\n", n, seed+1,
+				f.Worth(), part(f.RefusedWithRoom, f.Tries), part(f.Beyond, f.Passed), f.BeyondWorth/f.Inside, f.OracleWorth/f.Inside, f.CeilingLeast)
 			for i, k := range kinds {
 				g := f.Groups[i]
 				fmt.Fprintf(out, "  %s\t%.3f\t%.3f\t%.3f\tof all worth %.3f\ttries %d\n", k.name, g.Served/max(g.Inside, 1e-9),
--- a/internal/emulate/customer.go
+++ b/internal/emulate/customer.go
@@ -46,6 +46,7 @@
 
 	store, ideal bucket // what is left of its quota; and if an oracle passed all that fits
 	ceiling      bucket
+	late         []latePass           // of an oracle that sees the store late; the first is what it sees now
 	use          [periodsKept]float64 // units sent on, by period of the meter
 	period       int64
 }
@@ -101,6 +102,7 @@
 	p := &w.Config.Plans[g.Plan]
 	c.store.level, c.ideal.level, c.ceiling.level = p.Burst, p.Burst, p.CeilingBurst
 	c.store.at, c.ideal.at, c.ceiling.at = w.now, w.now, w.now
+	c.late = []latePass{{c.store, -1}}
 	c.part(w.rng.Perm(c.spread))
 	if g.Moves > 0 && g.Zipf > 0 {
 		c.move()
@@ -195,6 +197,42 @@
 	d.try()
 }
 
+// latePass is the store under an oracle behind a request that it passed, and the gateway at which it did.
+type latePass struct {
+	store bucket
+	by    int
+}
+
+// seenLate has an oracle decide on a request at a gateway: one that sees the true
+// store, of all gateways together, as it was OracleLag ago, and passes what that
+// holds a unit for beside what this gateway has passed since.
+func (c *customer) seenLate(d *demand, gateway int) {
+	w, p := c.world, &c.world.Config.Plans[c.plan]
+	if w.OracleLag <= 0 || p.Rate <= 0 {
+		return
+	}
+	then := w.now - w.OracleLag
+	for len(c.late) > 1 && c.late[1].store.at <= then {
+		c.late = c.late[1:]
+	}
+	seen, now := c.late[0].store, c.late[len(c.late)-1].store
+	seen.fill(max(then, seen.at), p.Rate, p.Burst)
+	for _, l := range c.late[1:] {
+		if l.by == gateway {
+			seen.level--
+		}
+	}
+	if seen.level < 1 {
+		return
+	}
+	if now.fill(w.now, p.Rate, p.Burst); now.level >= 1 {
+		now.level--
+	} else {
+		w.figures.OracleWorth += d.worth * p.OverCost
+	}
+	c.late = append(c.late, latePass{now, gateway})
+}
+
 // try sends a try to one of the customer's gateways.
 func (d *demand) try() {
 	c, w := d.of, d.of.world
@@ -204,7 +242,11 @@
 	w.figures.Tries++
 	c.kind().Tries++
 	i, _ := slices.BinarySearch(c.shares, w.rng.Float64()*c.shares[len(c.shares)-1])
-	g := w.gateways[(c.first+min(i, len(c.shares)-1))%len(w.gateways)]
+	i = (c.first + min(i, len(c.shares)-1)) % len(w.gateways)
+	g := w.gateways[i]
+	if d.tries == 1 {
+		c.seenLate(d, i)
+	}
 	tries := d.tries
 	w.at(d.until, func() { // nothing has come
 		if !d.done && d.tries == tries && d.heard < tries {
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -42,6 +42,7 @@
 	Handshake float64          // core-seconds that a new connection costs its backend
 	Idle      time.Duration    // a gateway closes connections idle for so long; 0: 9 s
 	MeterLag  time.Duration    // from the end of a period to its first reading
+	OracleLag time.Duration    // that of the oracle which what passes beyond quotas is held against; 0: none is played
 
 	Whole  bool                             // every gateway uses every backend: no subsets
 	Limit  func(gateway int) choice.Limiter // on attempts out; nil: the gateways' own
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -155,3 +155,23 @@
 		t.Errorf("in 10 s the busiest gateway was one of %d", len(busiest))
 	}
 }
+
+// The oracle that what passes beyond quotas is held against: one that sees the stores at once passes
+// nothing beyond them, and the later it sees them the more.
+func TestOracleThatSeesLatePassesMoreBeyondTheQuota(t *testing.T) {
+	last := 0.0
+	for _, lag := range []time.Duration{1, 100 * ms, time.Second} {
+		s := bank(1, 30, 20)
+		s.OracleLag = lag
+		s.Customers = []Customers{{Count: 20, Plan: 0, Rate: 4.5, Spread: 20}}
+		f := play(t, s)
+		switch cost := f.OracleWorth / f.Inside; {
+		case lag == 1 && cost != 0:
+			t.Errorf("seen at once it costs %.3f", cost)
+		case lag > 1 && cost <= last:
+			t.Errorf("seen %v late it costs %.3f, no more than %.3f", lag, cost, last)
+		default:
+			last = cost
+		}
+	}
+}
--- a/internal/emulate/figures.go
+++ b/internal/emulate/figures.go
@@ -16,6 +16,7 @@
 	Inside      float64 // worth asked that an oracle would serve inside the quotas
 	Served      float64 // worth served in time and inside them; late answers count in part
 	BeyondWorth float64 // what tries sent on beyond the quotas cost
+	OracleWorth float64 // and what they would cost under an oracle that sees each store OracleLag late
 
 	Tries, Passed, Beyond, Refused, RefusedWithRoom, Failed, Broken, Lost int
 	Attempts, Crossed, Handshakes, Probes                                 int
