--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -263,3 +263,42 @@
 	c.want(fmt.Sprintf("$%d\r\n%s", len(value), value))
 	idle(t, "the request that crossed the end", b.Got)
 }
+
+// A connection that comes up late carries nothing: neither when its backend was told
+// to be draining or gone meanwhile, between choice and first byte, nor when it was given up.
+func TestConnectionThatComesUpLateCarriesNothing(t *testing.T) {
+	for name, told := range map[string]string{
+		"draining":   `{"id":"late","host_port":%q,"phase":"DRAINING"},`,
+		"gone":       `{"id":"late","host_port":%q,"phase":"DELETED"},`,
+		"moved":      `{"id":"late","host_port":"127.0.0.1:1","phase":"SERVING","locality":%q},`,
+		"taken over": `{"id":"new","host_port":%q,"phase":"DRAINING"},{"id":"late","phase":"DELETED"},`,
+		"given up":   "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			late, other := stoppedBackend(t, standin.Connecting), newBackend(t)
+			r := newRig(t, func(cfg *Config) {
+				cfg.Choice.Probing = false
+				if cfg.connectTimeout = patience; told == "" {
+					cfg.connectTimeout = 3 * time.Second
+				}
+			}, late.member("late"))
+			wait(t, "a watch", r.discovery.Watched)
+			c := r.dial()
+			c.send("Q.DO", anyone, newID(), payment, "BODY")
+			r.eventually("a connection to come up", func(l *loop) bool { return l.pool.Open() == 1 })
+			if told != "" {
+				told = fmt.Sprintf(told, late.Addr)
+			}
+			r.discovery.Lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[%s{"id":"other","host_port":%q,"phase":"SERVING","size":1}]}`, told, other.Addr)
+			r.eventually("the change to be known", func(l *loop) bool { return l.pool.Known()["other"] > 0 })
+			if told != "" {
+				late.Go() // it comes up at the system's next try, a second later
+			}
+			wait(t, "the request at the other backend", other.Got).Answer("v")
+			late.Go()
+			c.want("$1\r\nv")
+			idle(t, "a request at the late backend", late.Got)
+			r.eventually("the late connection to be gone", func(l *loop) bool { return l.pool.Open() == 1 })
+		})
+	}
+}
