--- a/internal/ingress/watch_test.go
+++ b/internal/ingress/watch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -16,16 +17,15 @@
 // the next of its steps says; the last one goes on for all that follow.
 func script(t *testing.T, list string, steps ...func(w io.Writer, asked *http.Request)) (d *discovery, asked chan string, got chan MemberList) {
 	asked, got = make(chan string, 1000), make(chan MemberList, 1000)
-	n := 0
+	var watches atomic.Int32 // one that was given up may still end while the next begins
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.URL.RawQuery
 		if r.URL.Query().Get("stream") == "" {
 			io.WriteString(w, list)
 			return
 		}
-		step := steps[min(n, len(steps)-1)]
-		n++
-		step(flushing{w, http.NewResponseController(w)}, r)
+		n := int(watches.Add(1)) - 1
+		steps[min(n, len(steps)-1)](flushing{w, http.NewResponseController(w)}, r)
 	}))
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	d = newDiscovery(s.Listener.Addr().String(), func(l MemberList) { got <- l })
