Force stops at connecting, half written and half read; a stopped process at the hand-over

Narrow moments: TestStopAnswersWhatIsOnItsWay (loopback, three states) and, on processes, a holder of the inherited socket that is stopped and then killed while a client waits: the next process serves it.

--- a/cmd/wickarch/replace_test.go
+++ b/cmd/wickarch/replace_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"syscall"
 	"testing"
 
 	"wickarch/internal/standin"
@@ -48,3 +49,48 @@
 	}
 	judge()
 }
+
+// A process that is stopped (SIGSTOP) keeps the right to take clients; killed, it
+// gives it up at once, and who waited meanwhile is served by the next one.
+func TestStoppedProcessGivesUpItsClientsWhenKilled(t *testing.T) {
+	s := around(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384})
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	file, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	s.node.Listen, s.node.Files = held.Addr().String(), []*os.File{file}
+	env := []string{"NODE_PASSED_SOCKET=3", "TMPDIR=" + t.TempDir()}
+	s.begin(nil, env...)
+	before := s.Process
+	if err := before.Cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	next, err := s.node.Start(t.Context(), []string{os.Args[0]}, s.dir, append(env, asProgram+"=1")...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := standin.Dial(held.Addr().String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	id := standin.NewID()
+	if err := c.Send(standin.Payment(1000, id, 20_000)...); err != nil {
+		t.Fatal(err)
+	}
+	before.Cmd.Process.Kill()
+	// It may not have heard of a backend yet, and then says so.
+	got := c.Outcome(id)
+	if ran := s.effects.Of(id); got != standin.Served && got != standin.Refused || (got == standin.Served) != (ran == 1) {
+		t.Errorf("the outcome is %v, and it ran %d times", got, ran)
+	}
+	if err := next.Stop(patience); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -302,3 +302,44 @@
 		})
 	}
 }
+
+// What was taken when the process is told to end is answered, whatever its attempt
+// was at; half a request is taken as soon as it is whole.
+func TestStopAnswersWhatIsOnItsWay(t *testing.T) {
+	whole := encode("Q.DO", anyone, newID(), payment, strings.Repeat("x", 64<<10))
+	for name, s := range map[string]struct {
+		at    standin.Point
+		first int // bytes of the request that come before the stop
+	}{
+		"connecting":   {standin.Connecting, len(whole)},
+		"half written": {standin.HalfRead, len(whole)},
+		"half read":    {standin.HalfRead, len(whole) / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := stoppedBackend(t, s.at)
+			r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+			over := make(chan struct{})
+			r.server.late = func() { <-over }
+			c := r.dial()
+			c.write(whole[:s.first])
+			r.eventually("the request to have come that far", func(l *loop) bool {
+				clients := r.server.front.clients
+				return len(clients) == 1 && (l.pool.Open() == 1 || s.first < len(whole) && len(clients[0].half) > 0)
+			})
+			r.stop()
+			r.eventually("the drain", func(*loop) bool { return r.server.front.draining })
+			c.write(whole[s.first:])
+			if s.at == standin.HalfRead {
+				wait(t, "half a request at the backend", b.Begun())
+			}
+			close(over)
+			b.Go()
+			wait(t, "the request", b.Got).Answer("v")
+			c.want("$1\r\nv")
+			c.wantEnd()
+			if err := wait(t, "the end", r.ended); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
