--- a/cmd/wickarch/replace_test.go
+++ b/cmd/wickarch/replace_test.go
@@ -14,17 +14,7 @@
 // find nobody, or run twice for it.
 func TestProcessIsReplacedUnderLoad(t *testing.T) {
 	s := around(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384})
-	held, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer held.Close()
-	file, err := held.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	s.node.Listen, s.node.Files = held.Addr().String(), []*os.File{file}
+	s.hold()
 	shared := t.TempDir()
 	env := []string{"NODE_PASSED_SOCKET=3", "TMPDIR=" + shared}
 	s.begin(nil, env...)
@@ -54,17 +44,7 @@
 // gives it up at once, and who waited meanwhile is served by the next one.
 func TestStoppedProcessGivesUpItsClientsWhenKilled(t *testing.T) {
 	s := around(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384})
-	held, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer held.Close()
-	file, err := held.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	s.node.Listen, s.node.Files = held.Addr().String(), []*os.File{file}
+	address := s.hold()
 	env := []string{"NODE_PASSED_SOCKET=3", "TMPDIR=" + t.TempDir()}
 	s.begin(nil, env...)
 	before := s.Process
@@ -75,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := standin.Dial(held.Addr().String(), patience)
+	c, err := standin.Dial(address, patience)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,3 +74,20 @@
 		t.Error(err)
 	}
 }
+
+// hold opens a listening socket that stays, as a platform does, for processes to inherit.
+func (s *site) hold() (address string) {
+	s.Helper()
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { held.Close() })
+	file, err := held.(*net.TCPListener).File()
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { file.Close() })
+	s.node.Listen, s.node.Files = held.Addr().String(), []*os.File{file}
+	return s.node.Listen
+}
