Find the lines of the ingress's own file as all other files do

The file of the door is now read through internal/tomlfile, which also knows the first key of a table by the beginning of its name.

The tests of both, unchanged, pass: each fault is told with the line that it had before. A plain move: nothing of it runs without -config.

--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -7,13 +7,11 @@
 	"errors"
 	"fmt"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"wickarch/door"
+	"wickarch/internal/tomlfile"
 )
 
 // Own is the whole file. Parts that it leaves out are nil.
@@ -87,79 +85,19 @@
 // Parse reads and checks the text of a file, and returns all its faults in the
 // order of their lines, each as "LINE: what is wrong".
 func Parse(text string) (own Own, faults []error) {
-	meta, err := toml.Decode(text, &own)
-	if err != nil {
-		var at toml.ParseError
-		if errors.As(err, &at) {
-			return Own{}, []error{fmt.Errorf("%d: %s", at.Position.Line, at.Message)}
-		}
-		n := 1
-		fmt.Sscanf(err.Error(), "toml: line %d", &n) // a value of the wrong type has no error type of its own
-		return Own{}, []error{fmt.Errorf("%d: %w", n, err)}
-	}
-	type fault struct {
-		line int
-		err  error
-	}
-	var found []fault
-	add := func(key toml.Key, format string, args ...any) {
-		n := line(text, key)
-		found = append(found, fault{n, fmt.Errorf("%d: %s: %s", n, key, fmt.Sprintf(format, args...))})
-	}
-	for _, key := range meta.Undecoded() {
-		add(key, "there is no such key")
+	file, faults := tomlfile.Decode(text, &own)
+	if file == nil {
+		return Own{}, faults
 	}
 	if own.Door != nil {
 		m := own.Door.Apply(door.Defaults(sampleSockets, sampleSockets))
 		if err := m.Check(); err != nil {
 			name, _, _ := strings.Cut(err.Error(), ":")
-			add(keyOf(meta, "door", name, "high", "low", "floor", "spare", "places"), "%v", err)
+			file.Fault(file.First("door", name, "high", "low", "floor", "spare", "places"), "%v", err)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b fault) int { return a.line - b.line })
-	for _, f := range found {
-		faults = append(faults, f.err)
-	}
-	return own, faults
+	return own, file.Faults()
 }
 
 // sampleSockets stands for the platform's limit when a file is checked alone.
 const sampleSockets = 1024
-
-// keyOf is the first key of a section that begins with one of the names, in
-// their order, or the section. A mark that is wrong may be one that follows from
-// another, which the file does hold.
-func keyOf(meta toml.MetaData, section string, names ...string) toml.Key {
-	for _, name := range names {
-		for _, k := range meta.Keys() {
-			if len(k) == 2 && k[0] == section && strings.HasPrefix(k[1], name) {
-				return k
-			}
-		}
-	}
-	return toml.Key{section}
-}
-
-// line finds the line on which a key of at most two parts stands; the library
-// tells positions of faults in the syntax alone.
-func line(text string, key toml.Key) int {
-	section, at := "", 0
-	for i, l := range strings.Split(text, "\n") {
-		l = strings.TrimSpace(l)
-		if strings.HasPrefix(l, "[") {
-			section = strings.Trim(strings.SplitN(l, "#", 2)[0], "[] ")
-			if section == key[0] && at == 0 {
-				at = i + 1
-			}
-			if len(key) == 1 && at > 0 {
-				return at
-			}
-			continue
-		}
-		name := strings.TrimSpace(strings.SplitN(l, "=", 2)[0])
-		if len(key) == 1 && section == "" && name == key[0] || len(key) > 1 && section == key[0] && name == key[1] {
-			return i + 1
-		}
-	}
-	return max(1, at)
-}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -13,6 +13,7 @@
 // File is one that has been read.
 type File struct {
 	text   string
+	keys   []toml.Key // in the order of the text
 	faults []fault
 }
 
@@ -34,13 +35,27 @@
 		fmt.Sscanf(err.Error(), "toml: line %d", &n) // a value of the wrong type has no error type of its own
 		return nil, []error{fmt.Errorf("%d: %w", n, err)}
 	}
-	f := &File{text: text}
+	f := &File{text: text, keys: meta.Keys()}
 	for _, key := range meta.Undecoded() {
 		f.add(f.line(key.String(), 0), key.String(), "there is no such key")
 	}
 	return f, nil
 }
 
+// First is the first key of a table that begins with one of the names, in their
+// order, or the table: a value that is wrong may follow from another, which the file
+// does hold.
+func (f *File) First(table string, names ...string) string {
+	for _, name := range names {
+		for _, k := range f.keys {
+			if len(k) == 2 && k[0] == table && strings.HasPrefix(k[1], name) {
+				return k.String()
+			}
+		}
+	}
+	return table
+}
+
 // Fault notes what is wrong with a key, "table.key" or "key".
 func (f *File) Fault(key, format string, args ...any) { f.FaultAt(key, 0, format, args...) }
 
