Ask for the whole list when watches tell nothing, and end dials that discovery ignores

Seen in a test in virtual time that plays discovery down for 1, 5 and 60 s in thirteen ways, and serving in seven ways before and after.

- A watch that ended and told nothing was begun anew for ever, a list once had was never asked for again (run: have stayed true).
Where each watch ends at once and lists are answered, no change was ever told.
Of three tries in a row that tell nothing, the last is now for the whole list; where that fails the next two are watches, so lists that are never answered take no change away either.
- Package http lets a dial go on whose call was given up.
While connections never came up, each second left one more behind with its descriptor, for the two minutes that the system dials: 5 at once in a 5 s outage.
A dial now ends with the patience for a call, so there are two at most.

Ruled out: waits between tries, their patience and their sum in all other ways (told 3.1 s after the return at most, where each call is 0.9 s late and each watch ends); an address moved to with SIGHUP, in force 4 s after it can be reached, with the old one in force until then.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	watchRetry   = 250 * time.Millisecond // between the beginnings of two tries
 	maxListLine  = 4 << 20                // bytes of one list
 	listPatience = time.Second            // an agent that has a list answers at once
+	// wholeEvery tries in a row that tell nothing, the last is for the whole list:
+	// watches may end again and again where a list is answered, or the other way round.
+	wholeEvery = 3
 )
 
 // MemberList is a list of backends, or the changes to one, as discovery sends it.
@@ -54,16 +58,19 @@
 type discovery struct {
 	base     string
 	client   *http.Client
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	silence  time.Duration
 	patience time.Duration // with the whole list
 	deliver  func(MemberList)
 	failing  bool // as last reported
+	told     int  // objects of watches
 }
 
 // sources follows discovery at one address, and moves to another without a gap:
 // the address before stays in force until the new one has told its whole list.
 type sources struct {
 	deliver func(MemberList)
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	ctx     context.Context
 	close   context.CancelFunc
 
@@ -75,7 +82,7 @@
 type source struct{ leave context.CancelFunc }
 
 func newSources(deliver func(MemberList)) *sources {
-	s := &sources{deliver: deliver}
+	s := &sources{deliver: deliver, dial: new(net.Dialer).DialContext}
 	s.ctx, s.close = context.WithCancel(context.Background())
 	return s
 }
@@ -92,6 +99,7 @@
 	s.next = src
 	s.mu.Unlock()
 	d := newDiscovery(addr, func(l MemberList) { s.take(src, l) })
+	d.dial = s.dial
 	go func() {
 		d.run(ctx, started)
 		d.client.CloseIdleConnections()
@@ -116,12 +124,23 @@
 }
 
 func newDiscovery(addr string, deliver func(MemberList)) *discovery {
-	return &discovery{
+	d := &discovery{
 		base:    "http://" + addr + "/api/targets",
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		dial:    new(net.Dialer).DialContext,
 		silence: watchSilence, patience: listPatience,
 		deliver: deliver,
 	}
+	d.client = &http.Client{Transport: &http.Transport{DialContext: d.connect, MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	return d
+}
+
+// connect ends with the patience for a call. Package http lets a dial go on whose
+// call was given up: while connections never come up, each try would leave one
+// more behind, with its descriptor, for the minutes that the system dials.
+func (d *discovery) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.patience)
+	defer cancel()
+	return d.dial(ctx, network, addr)
 }
 
 // list fetches the whole list.
@@ -160,14 +179,17 @@
 // once, after the first try at the list, whether it went well or not.
 func (d *discovery) run(ctx context.Context, started func()) {
 	var revision int64
-	for have := false; ctx.Err() == nil; {
+	have, vain := false, 0 // a list; tries in a row that told nothing
+	for ctx.Err() == nil {
 		begun := time.Now()
 		var err error
-		if !have {
+		if !have || vain%wholeEvery == wholeEvery-1 {
 			var l MemberList
 			if l, err = d.list(ctx); err == nil {
-				have, revision = true, l.Revision
+				have, vain, revision = true, 0, l.Revision
 				d.deliver(l)
+			} else {
+				vain++
 			}
 			d.report(ctx, err)
 			if started != nil {
@@ -175,12 +197,20 @@
 				started = nil
 			}
 		}
-		if have {
+		if have && err == nil {
 			begun = time.Now()
+			before := d.told
 			revision, err = d.watch(ctx, revision)
 			d.report(ctx, err)
-			// What can't be read may have held a change: it is asked for anew, as a whole.
-			have = !errors.Is(err, errBroken)
+			switch {
+			case errors.Is(err, errBroken):
+				// What can't be read may have held a change: it is asked for anew, as a whole.
+				vain = wholeEvery - 1
+			case d.told > before:
+				vain = 0
+			default:
+				vain++
+			}
 		}
 		// What discovery has counts as told though no watch is open: one that has
 		// lasted is begun anew at once, one that ends as soon as it begins is not.
@@ -229,6 +259,7 @@
 		}
 		d.report(ctx, nil)
 		stream.whole(objects.Buffered())
+		d.told++
 		revision = l.Revision
 		d.deliver(l)
 	}
