Set all options on connections that an inherited multipath socket takes

Seen: a listening socket that a platform opens with Go's net.Listen is a multipath one. A connection of a plain TCP client that comes on it has TCP_NODELAY and the keepalive times, but not TCP_NOTSENT_LOWAT (-1 for 131072; Linux 6.18): the kernel takes megabytes of answers for a client that does not read, which nothing counts. Sockets that the ingress opens itself are plain TCP. Change: connections from such a listener get their options one by one; others inherit them still. Ruled out: TCP_NODELAY was on all of them, own, inherited and multipath, with both kinds of client.

--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -28,6 +28,8 @@
 	// kernel takes megabytes of it for each connection.
 	unsentMost      = 128 << 10 // bytes not sent yet that the kernel takes
 	tcpNotSentLowat = 25        // TCP_NOTSENT_LOWAT, which package syscall does not have
+
+	multipathTCP = 262 // IPPROTO_MPTCP, likewise
 )
 
 // Sockets is the world of the system's sockets.
@@ -238,7 +240,29 @@
 // listener takes connections.
 type listener struct {
 	socket
-	ln *net.TCPListener
+	ln   *net.TCPListener
+	each bool // the connections that it takes do not inherit all options
+}
+
+// options are those of a client's connection. One that a plain TCP socket takes
+// inherits them, at no call for each.
+var options = [...][3]int{
+	{syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1},
+	{syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1},
+	{syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, keepIdle},
+	{syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, keepEvery},
+	{syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, keepProbes},
+	{syscall.IPPROTO_TCP, tcpNotSentLowat, unsentMost},
+}
+
+// setOptions sets them all, and returns the first error.
+func setOptions(fd int) (err error) {
+	for _, o := range options {
+		if e := syscall.SetsockoptInt(fd, o[0], o[1], o[2]); err == nil {
+			err = e
+		}
+	}
+	return err
 }
 
 // Inherited is the address that stands for an inherited listening socket.
@@ -276,7 +300,7 @@
 		ln.Close()
 		return nil, fmt.Errorf("listen: %s is no TCP socket", address)
 	}
-	l := &listener{socket{world: s, handler: h, fd: -1}, tcp}
+	l := &listener{socket: socket{world: s, handler: h, fd: -1}, ln: tcp}
 	l.socket.ln = l
 	raw, err := l.ln.SyscallConn()
 	if err != nil {
@@ -285,20 +309,9 @@
 	}
 	control := raw.Control(func(fd uintptr) {
 		l.fd = int(fd)
-		// The connections that it takes inherit these, at no call for each.
-		for _, o := range [][3]int{
-			{syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1},
-			{syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1},
-			{syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, keepIdle},
-			{syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, keepEvery},
-			{syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, keepProbes},
-			{syscall.IPPROTO_TCP, tcpNotSentLowat, unsentMost},
-		} {
-			if err == nil {
-				err = syscall.SetsockoptInt(l.fd, o[0], o[1], o[2])
-			}
-		}
-		if err == nil {
+		protocol, unknown := syscall.GetsockoptInt(l.fd, syscall.SOL_SOCKET, syscall.SO_PROTOCOL)
+		l.each = unknown == nil && protocol == multipathTCP
+		if err = setOptions(l.fd); err == nil {
 			err = s.watch(&l.socket)
 		}
 	})
@@ -317,6 +330,9 @@
 		fd, _, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 		switch err {
 		case nil:
+			if l.each {
+				setOptions(fd) // those that this one does not know it need not have
+			}
 			return &socket{world: l.world, fd: fd}, nil
 		case syscall.EAGAIN:
 			return nil, ErrWait
