Send on a connection that has come up only when its whole round is known

Seen: a process stood still for 150 ms; a client closed and the connection that its request waited for came up meanwhile. Cause: conn.Ready sent from within the event (conn.go, state connecting); the client's end stood behind it in the same list of events. Change: a connection that is up is noted, and its attempt goes in the pool's turn of the same round, after all events, mail and timers; the look for an end or noise is taken then, too. Ruled out: the waits for a descriptor, for a place, for a repeat (turned away, failed, reset) and for a second copy, with cancelling on and off, by an end and by a reset, on time and late: none begins after a close.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -147,13 +147,9 @@
 			c.fail(choice.ConnectFailed)
 			return
 		}
-		// A backend that takes no more connections may end it, or say so,
-		// before the first byte is written.
-		if c.net.Pending() || c.pool.loop.Now() >= c.upBy {
-			c.fail(choice.ConnectFailed)
-			return
-		}
-		c.send()
+		// Its attempt goes in the pool's turn: where the process stood still, what
+		// speaks against it (its client has left) may be told in this round, behind this.
+		c.pool.up = append(c.pool.up, c)
 	case writing:
 		if e&(reactor.Gone|reactor.Readable|reactor.Ended) != 0 || c.pool.loop.Now() >= c.attempt.until() {
 			// An answer to half a request is nobody's.
@@ -176,6 +172,19 @@
 	}
 }
 
+// cameUp sends the attempt on a connection that has come up in this round.
+func (c *conn) cameUp() {
+	switch {
+	case c.state != connecting: // withdrawn, or given up, meanwhile
+	case c.net.Pending(), c.pool.loop.Now() >= c.upBy:
+		// A backend that takes no more connections may end it, or say so,
+		// before the first byte is written.
+		c.fail(choice.ConnectFailed)
+	default:
+		c.send()
+	}
+}
+
 // stray closes a connection on which something came, or that ended, while it
 // carried nothing.
 func (c *conn) stray() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -98,6 +98,7 @@
 	stale    float64 // share of kept connections that were reset at their next request
 	open     int     // connections, those coming up among them
 	breaches uint64  // bytes that came though nobody asked for them
+	up       []*conn // have come up in this round, and their attempts are not sent yet
 	ends     []end   // outcomes not told yet
 	told     []end
 	out      []byte // written from by every connection in turn
@@ -131,8 +132,14 @@
 		in: make([]byte, sharedBuffer)}
 }
 
-// Round tells the outcomes that have gathered.
+// Round sends what waited for its connection, and tells the outcomes that have
+// gathered.
 func (p *Pool) Round() {
+	for i, c := range p.up {
+		c.cameUp()
+		p.up[i] = nil
+	}
+	p.up = p.up[:0]
 	for len(p.ends) > 0 {
 		p.told, p.ends = p.ends, p.told[:0]
 		for i, e := range p.told {
@@ -143,7 +150,7 @@
 }
 
 // Next tells when Round has something to do.
-func (p *Pool) Next() (at time.Duration, any bool) { return 0, len(p.ends) > 0 }
+func (p *Pool) Next() (at time.Duration, any bool) { return 0, len(p.ends)+len(p.up) > 0 }
 
 // Known are the backends, each with the gateway's id for it.
 func (p *Pool) Known() map[string]uint32 {
