--- /dev/null
+++ b/cmd/bench/capacity/main.go
@@ -0,0 +1,83 @@
+// Command capacity measures what the fleet of two years ahead costs, role by role:
+// slopes of state, messages, bytes, CPU and memory by size, on real processes and on
+// hollow ones. docs/CAPACITY.md has its figures. It is a long measurement, and no
+// part of CI, which plays its counts at a small size (scale_test.go).
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+func main() {
+	var line struct {
+		Slopes  slopes  `cmd:"" help:"Measure each role by each dimension, at several sizes."`
+		Reload  reload  `cmd:"" help:"Tell what a changed plan does to an ingress that runs."`
+		Pace    pace    `cmd:"" help:"Tell how soon a release has reached the fleet, in virtual time."`
+		Latency latency `cmd:"" help:"Tell what an ingress adds to a request, with a quiet list and one that changes."`
+		Crowd   crowd   `cmd:"" help:"Tell what many ingresses ask of discovery at once."`
+		Hollow  hollow  `cmd:"" hidden:""`
+		Agents  agents  `cmd:"" hidden:""`
+	}
+	k := kong.Parse(&line, kong.Description("Measurements of capacity."))
+	k.FatalIfErrorf(k.Run())
+}
+
+// slopes is the command that sweeps.
+type slopes struct {
+	Bin   string        `default:"bin" help:"Folder of the built programs." type:"path"`
+	Only  []string      `help:"Names of sweeps; all without it."`
+	Sizes []int         `help:"Other sizes than the sweep's own."`
+	Runs  int           `default:"3"`
+	Rest  time.Duration `default:"4s" help:"Over which rest is measured."`
+	Plots string        `help:"Folder for a plot of each figure." type:"path"`
+}
+
+func (s *slopes) sweeps(r roles) map[string]sweep {
+	return map[string]sweep{
+		"backends": {"one ingress of 480", "backends", []int{1250, 2500, 5000, 10000, 20000}, fleetBackends, r.byBackends},
+		"members":  {"three coordinators", "members", []int{293, 585, 1170, 2340, 4680}, fleetIngresses + fleetBackends, r.byMembers},
+		"tenants":  {"one ingress of 480, 64 MB", "tenants", []int{1250, 2500, 5000, 10000, 20000, 100000}, fleetTenants, r.byTenants},
+	}
+}
+
+// Run measures.
+func (s *slopes) Run() error {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	all := s.sweeps(roles{s.Bin, dir, s.Rest})
+	names := s.Only
+	if len(names) == 0 {
+		for name := range all {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+	}
+	for _, name := range names {
+		sw, ok := all[name]
+		if !ok {
+			return fmt.Errorf("no sweep has the name %q", name)
+		}
+		if len(s.Sizes) > 0 {
+			sw.Sizes = s.Sizes
+		}
+		m, err := sw.measure(s.Runs)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: %d runs\n\n%s\n\n", name, s.Runs, m.table())
+		if s.Plots != "" {
+			if err := m.draw(s.Plots); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
