Close a caller of the second address for one that waits, and for nobody else

Accept fails with no descriptor left before it looks whether a connection waits; the caller that had got the last one was closed then, for nobody (Server.Round). The listener is now asked whether one waits, by poll(2) with no wait, on that path alone. The front goes on as it was: there the descriptor that a client at rest gives up is the one that discovery and a dial find.

TestCallerWithTheLastDescriptorIsAnswered forces both sides; without the look the call is closed, and without the room made a caller who waits is answered when the half call of the one before times out only.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -102,6 +102,10 @@
 			s.acceptable = false
 			return
 		}
+		if err != nil && !s.ln.Waiting() {
+			s.acceptable = false // the last descriptor went to the one before
+			return
+		}
 		if err != nil {
 			// Descriptors have run out. The oldest caller without a whole call
 			// makes room for one that may have more to say.
--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -26,10 +26,16 @@
 
 func serve(t *testing.T, most int) (*Server, *reactor.Loop) {
 	t.Helper()
-	world, err := reactor.NewSockets()
+	return serveOn(t, most, func(s *reactor.Sockets) reactor.World { return s })
+}
+
+func serveOn(t *testing.T, most int, of func(*reactor.Sockets) reactor.World) (*Server, *reactor.Loop) {
+	t.Helper()
+	sockets, err := reactor.NewSockets()
 	if err != nil {
 		t.Fatal(err)
 	}
+	world := of(sockets)
 	loop := reactor.New(world)
 	s, err := Listen(loop, "127.0.0.1:0", most, &fakeNode{})
 	if err != nil {
@@ -158,3 +164,79 @@
 		t.Fatalf("%v, want the end", err)
 	}
 }
+
+// short is a world in which one connection can be taken at a time: as with the system's,
+// where no descriptor is left, to accept one fails whether or not one waits.
+type short struct {
+	*reactor.Sockets
+	taken bool
+}
+
+type shortListener struct {
+	reactor.Listener
+	world *short
+}
+
+type shortConn struct {
+	reactor.Conn
+	world *short
+}
+
+func (w *short) Listen(address string, h reactor.Handler) (reactor.Listener, error) {
+	ln, err := w.Sockets.Listen(address, h)
+	return &shortListener{ln, w}, err
+}
+
+func (l *shortListener) Accept() (reactor.Conn, error) {
+	if l.world.taken {
+		return nil, reactor.ErrFiles
+	}
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.world.taken = true
+	return &shortConn{nc, l.world}, nil
+}
+
+func (c *shortConn) Close() {
+	c.Conn.Close()
+	c.world.taken = false
+}
+
+// Who has got the last descriptor makes room for one that waits, and for nobody else.
+func TestCallerWithTheLastDescriptorIsAnswered(t *testing.T) {
+	s, loop := serveOn(t, 4, func(s *reactor.Sockets) reactor.World { return &short{Sockets: s} })
+	loop.Do(func() { s.callTime = time.Hour })
+	first := dial(t, s)
+	const line, rest = "GET /status HTTP/1.1\r\n", "Host: x\r\n\r\n"
+	if _, err := io.WriteString(first, line); err != nil {
+		t.Fatal(err)
+	}
+	end := time.Now().Add(patience)
+	for head := 0; head < len(line); { // by then it has tried to accept another
+		if time.Now().After(end) {
+			t.Fatal("the connection was closed for nobody")
+		}
+		loop.Do(func() {
+			if e := s.conns.Front(); e != nil {
+				head = len(e.Value.(*conn).head)
+			}
+		})
+	}
+	if _, err := io.WriteString(first, rest); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(first), nil)
+	if err != nil || answer.StatusCode != 503 {
+		t.Fatal(answer, err)
+	}
+	first.Close()
+	half := dial(t, s)
+	if _, err := io.WriteString(half, line); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := call(t, s, line+rest); status != 503 {
+		t.Errorf("the one that waits for a descriptor is answered %d", status)
+	}
+}
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -66,8 +66,11 @@
 // Listener takes connections at an address.
 type Listener interface {
 	// Accept takes one connection. It returns ErrWait when none waits, and
-	// ErrFiles when descriptors or memory have run out: it waits on then.
+	// ErrFiles when descriptors or memory have run out: if one waits, it waits on then.
 	Accept() (Conn, error)
+	// Waiting tells whether a connection waits. Without a descriptor the system's
+	// Accept fails before it looks.
+	Waiting() bool
 	// Address is where it listens, as "host:port".
 	Address() string
 	// Close ends it. Connections that wait are reset.
--- a/internal/reactor/simnet/node.go
+++ b/internal/reactor/simnet/node.go
@@ -247,6 +247,8 @@
 	return c, nil
 }
 
+func (l *listener) Waiting() bool { return !l.closed && len(l.waiting) > 0 }
+
 func (l *listener) Address() string { return fmt.Sprintf("%s:%d", l.node.IP, l.port) }
 
 func (l *listener) Close() {
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -343,6 +343,19 @@
 	}
 }
 
+func (l *listener) Waiting() bool {
+	if l.fd < 0 {
+		return false
+	}
+	look := struct { // struct pollfd
+		fd           int32
+		events, what int16
+	}{fd: int32(l.fd), events: syscall.EPOLLIN} // the same bit as POLLIN
+	var at syscall.Timespec // now
+	n, _, e := syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&look)), 1, uintptr(unsafe.Pointer(&at)), 0, 0, 0)
+	return e == 0 && n > 0
+}
+
 func (l *listener) Address() string { return l.ln.Addr().String() }
 
 func (l *listener) Close() {
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -44,7 +44,8 @@
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Settings  json.RawMessage `json:"settings"`
-	Files     []*os.File      `json:"-"` // that the program inherits, from descriptor 3 on
+	Known     json.RawMessage `json:"known,omitempty"` // a list as discovery tells it
+	Files     []*os.File      `json:"-"`               // that the program inherits, from descriptor 3 on
 }
 
 // Limits are what one ingress may use.
