Have a client at rest make room for a caller of the second address

Seen in the test of a crowd that fills the descriptors and comes back whenever it is let go: twenty calls of the second address took 0.1 s in two plays and 6.0 and 7.0 s in two others, in a process that may hold fewer descriptors than it is told. A dial that finds no descriptor asks the clients for one (loop.Starved); a caller of the second address waited until one was free by chance, and front and dials were quicker (admin.Server.Round). Ruled out: the drain, backends, and discovery, which had its connection at most 1.3 s after its return.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -42,6 +42,9 @@
 	Standby()
 	// Active ends that.
 	Active()
+	// Starved notes that a caller waits and no descriptor is left for it: the
+	// clients' part makes room for one at its next turn.
+	Starved()
 }
 
 // Server serves the address.
@@ -109,8 +112,11 @@
 		if err != nil {
 			// Descriptors have run out. The oldest caller without a whole call
 			// makes room for one that may have more to say.
+			// Where there is none, clients have them all, and one at rest does so.
 			if e := s.conns.Front(); e != nil {
 				e.Value.(*conn).close()
+			} else {
+				s.node.Starved()
 			}
 			s.retryAt = now + acceptRetry
 			return
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// Starved notes that a caller of the second address waits for a descriptor.
+func (i *Ingress) Starved() { i.loop.Starved() }
+
 // Held is what an ingress holds.
 type Held struct {
 	Clients, Backends int   // connections
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -23,6 +23,16 @@
 // NewLink starts a link to an address.
 func NewLink(to string) (*Link, error) {
 	ln, err := Listen()
+	return newLink(ln, err, to)
+}
+
+// NewLinkAt starts a link at an address, where connections were refused until then.
+func NewLinkAt(at, to string) (*Link, error) {
+	ln, err := net.Listen("tcp", at)
+	return newLink(ln, err, to)
+}
+
+func newLink(ln net.Listener, err error, to string) (*Link, error) {
 	if err != nil {
 		return nil, err
 	}
