--- a/internal/emulate/figures.go
+++ b/internal/emulate/figures.go
@@ -34,9 +34,18 @@
 	CeilingPassed int
 	CeilingLeast  float64 // lowest level of a ceiling's store
 
+	Shut    int           // gateways that turned away all they got for shutFor on end, shutTries or more
+	ShutFor time.Duration // longest time for which one did, with as many in the last shutFor
+
 	Events int
 }
 
+// What the users' standing trial takes for a gateway that turns away all it gets.
+const (
+	shutFor   = 4 * time.Second
+	shutTries = 15
+)
+
 // ClassFigures are those of one class.
 type ClassFigures struct {
 	Asked, Served int
--- a/internal/emulate/gateway.go
+++ b/internal/emulate/gateway.go
@@ -22,6 +22,8 @@
 	lastID   uint32
 	links    map[uint32]*link // by backend
 	out      int
+	vain     []time.Duration // the tries turned away since the last attempt
+	shut     bool            // at any time: of Figures.Shut
 }
 
 // link is a gateway's connections to one backend.
@@ -55,7 +57,7 @@
 	g := w.gateways[n]
 	g.up = true
 	g.life++
-	g.requests, g.links, g.out = map[uint32]*try{}, map[uint32]*link{}, 0
+	g.requests, g.links, g.out, g.vain = map[uint32]*try{}, map[uint32]*link{}, 0, nil
 	cfg := w.Config
 	cfg.Self, cfg.Zone = n, w.Spec.Gateways[n].Zone
 	if w.Limit != nil {
@@ -162,6 +164,7 @@
 		work: w.Work[t.request.class] * w.lognormal(w.WorkSigma)}
 	t.attempts = append(t.attempts, a)
 	g.out++
+	g.vain = g.vain[:0]
 	g.fleet.Sent()
 	w.figures.Attempts++
 	if s.spec.Zone != w.Spec.Gateways[g.num].Zone {
@@ -258,10 +261,29 @@
 func (g *gateway) final(id uint32, e ending, after time.Duration) {
 	if t := g.requests[id]; !t.over {
 		t.over = true
+		if len(t.attempts) == 0 {
+			g.turnedAway()
+		}
 		t.request.answered(e, after)
 	}
 }
 
+// turnedAway notes a try that ends with no attempt.
+func (g *gateway) turnedAway() {
+	now := g.world.now
+	g.vain = append(g.vain, now)
+	n := len(g.vain)
+	if n < shutTries || now-g.vain[n-shutTries] > shutFor {
+		return
+	}
+	f := &g.world.figures
+	span := now - g.vain[0]
+	if f.ShutFor = max(f.ShutFor, span); span >= shutFor && !g.shut {
+		g.shut = true
+		f.Shut++
+	}
+}
+
 // Cancel stops the wait for an attempt.
 func (g *gateway) Cancel(id uint32, num int) {
 	a := g.requests[id].attempts[num]
