Count a request's time from when it came, not from when it was read

Seen (virtual time): a request that lay unread for 400 ms told its backend 2.984 s where 2.599 s were left to its client: while the process stood still, in the listener's queue for want of a place, and behind 128 open commands of its connection. The repeats of it told as much too much. Cause: client.read dated what it read by its own clock; the protocol counts from the last byte. Change: the system is asked for the time of the last segment (TCP_INFO) where what is read may have waited: at the first read of a connection, when it was held up, and when the Wait before the last began over 50 ms ago. On a busy loop that is never; a round costs one look at the clock more. Where the system can't tell, all is as before. Several requests that waited together count from the last of them. Ruled out: connections that come up late, descriptors, repeats turned away late, stalls while a connection comes up and before a further attempt: each told what was left.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -128,7 +128,7 @@
 	unwritten   []byte // what its client did not take of the answers last written
 	unread      int    // bytes of answers that are due or unwritten
 
-	readAt  time.Duration // when half was last read
+	readAt  time.Duration // when what was last read had come
 	readBy  time.Duration // the first command, or the rest of one, must be here; 0: no bound
 	writeBy time.Duration // the client must have taken unwritten; 0: nothing is
 	resume  time.Duration // wrong commands: nothing is read before; 0: no pause
@@ -140,6 +140,7 @@
 	asked    bool // has sent a request that could be taken
 	timed    bool // readBy runs, for this command or the one before
 	readable bool // the socket may have more
+	heldUp   bool // what can be read has waited for us
 	behind   bool // half may hold whole commands: they came while none was taken
 	parting  bool // is in front.parting: its client has ended it
 	queued   bool // is in front.again
@@ -208,6 +209,7 @@
 			return
 		}
 		if !c.takes() {
+			c.heldUp = c.readable
 			break
 		}
 		if c.behind {
@@ -238,6 +240,12 @@
 		}
 		buf = c.half[len(c.half):cap(c.half)]
 	}
+	// A request's time counts from when it came: it may have waited for a place,
+	// for its connection's turn, or while the process stood still.
+	waited := time.Duration(0)
+	if c.readAt == 0 || c.heldUp || c.front.loop.Late() {
+		waited = c.net.Waited()
+	}
 	n, err := c.net.Read(buf)
 	if errors.Is(err, reactor.ErrWait) {
 		c.readable = false
@@ -247,9 +255,10 @@
 		c.close() // the client is gone
 		return
 	}
+	c.heldUp = false
 	// A short read has emptied the socket; what comes later is a new event.
 	c.readable = n == len(buf)
-	c.readAt = c.front.loop.Now()
+	c.readAt = c.front.loop.Now() - waited
 	if len(c.half) > 0 {
 		c.half = c.half[:len(c.half)+n]
 		c.commands(nil)
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -54,6 +54,9 @@
 	// Pending looks whether there is something to read, an end among it,
 	// whatever events have told.
 	Pending() bool
+	// Waited is how long ago the last of what has come did so, read or not; 0
+	// where that can't be told.
+	Waited() time.Duration
 	// Unsent tells whether bytes that were written are still on their way to the
 	// other side's machine: a Close with something unread would drop them.
 	Unsent() bool
@@ -127,6 +130,9 @@
 	tasks []Task
 	stop  bool
 
+	looked    [2]time.Duration // the two last Waits began
+	lateUntil time.Duration
+
 	mu   sync.Mutex
 	mail []func()
 	over bool // nothing is taken any more
@@ -197,6 +203,20 @@
 	return nil
 }
 
+// lateAfter is how old what is read may be before it counts as late.
+const lateAfter = 50 * time.Millisecond
+
+// Late tells whether what is read now may have come long ago. What came before
+// the last Wait but one began was told by that one. Where much has gathered, it
+// is told in several.
+func (l *Loop) Late() bool {
+	now := l.Now()
+	if now-l.looked[0] > lateAfter {
+		l.lateUntil = now + lateAfter
+	}
+	return now < l.lateUntil
+}
+
 // Round does what follows the events of one Wait.
 func (l *Loop) Round() {
 	l.mu.Lock()
@@ -210,6 +230,7 @@
 	for _, t := range l.tasks {
 		t.Round()
 	}
+	l.looked[0], l.looked[1] = l.looked[1], l.Now()
 }
 
 func ring(t *Timer) { t.Owner.Ring() }
--- a/internal/reactor/simnet/conn.go
+++ b/internal/reactor/simnet/conn.go
@@ -41,6 +41,7 @@
 	accepted time.Duration
 	broken   bool          // the network has reset it
 	sentAt   time.Duration // when the first of what waits in in was sent
+	cameAt   time.Duration // when the last of what has come did so
 }
 
 // What a stand-in may know of its connection beyond its own end, to judge by.
@@ -226,6 +227,11 @@
 	})
 }
 
+// Waited tells how long ago the last segment came, by the program's clock.
+func (c *conn) Waited() time.Duration {
+	return time.Duration(float64(c.node.net.now-c.cameAt) * c.node.Rate)
+}
+
 // Unsent tells whether something is on its way.
 func (c *conn) Unsent() bool { return !c.closed && len(c.sending) > 0 }
 
@@ -395,7 +401,7 @@
 		if len(c.in) == 0 {
 			c.sentAt = p.sent
 		}
-		c.in = append(c.in, p.data...)
+		c.in, c.cameAt = append(c.in, p.data...), n.now
 		c.tell(reactor.Readable)
 	}
 }
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -176,6 +176,19 @@
 	return e != syscall.EAGAIN
 }
 
+// Waited asks for when the last segment with data came. The system tells it in
+// milliseconds, by a clock that may be some of them behind.
+func (k *socket) Waited() time.Duration {
+	var info syscall.TCPInfo
+	size := uint32(unsafe.Sizeof(info))
+	_, _, e := syscall.RawSyscall6(syscall.SYS_GETSOCKOPT, uintptr(k.fd), syscall.IPPROTO_TCP, syscall.TCP_INFO,
+		uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	if e != 0 {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // Unsent asks for the send queue: what the other side's kernel has not
 // acknowledged is in it. Where that can't be told, nothing is.
 func (k *socket) Unsent() bool {
--- a/internal/reactor/sockets_test.go
+++ b/internal/reactor/sockets_test.go
@@ -127,3 +127,48 @@
 		t.Errorf("TCP_NODELAY of a connection that was dialed is %d, want 1", got)
 	}
 }
+
+// What has come is as old as it is, read or not, and something new makes it young.
+func TestWhatHasComeTellsItsAge(t *testing.T) {
+	const tick = 10 * time.Millisecond // the system's clock for it may be so far behind
+	world, err := NewSockets()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer world.Close()
+	ln, err := world.Listen("127.0.0.1:0", quiet{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc, err := net.Dial("tcp", ln.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	k := accepted(t, ln)
+	for range 3 {
+		written := time.Now()
+		if _, err := nc.Write([]byte("something")); err != nil {
+			t.Fatal(err)
+		}
+		for !k.Pending() {
+			if time.Since(written) > patience {
+				t.Fatal("waited in vain for what was written")
+			}
+		}
+		age := k.Waited()
+		if most := time.Since(written) + tick; age > most {
+			t.Fatalf("what came within %v is %v old", most, age)
+		}
+		for least := age + 3*tick; age < least; age = k.Waited() {
+			if time.Since(written) > patience {
+				t.Fatalf("what came %v ago is %v old", patience, age)
+			}
+		}
+		var buf [64]byte
+		k.Read(buf[:])
+		if again := k.Waited(); again < age {
+			t.Fatalf("what was read is %v old, and was %v", again, age)
+		}
+	}
+}
