--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -27,10 +27,23 @@
 	first := flag.Bool("first", false, "stop at the first fault")
 	trace := flag.Bool("trace", false, "with -seed: print all that happens")
 	crowd := flag.Bool("crowd", false, "of large installations in which much happens to many at once")
+	throng := flag.Bool("throng", false, "of twenty to thirty ingresses before backends that start cold, under a burst")
+	replaced := flag.Int("replaced", 0, "so many backends are replaced within a second, whatever was drawn")
 	flag.Parse()
 	if *crowd {
 		draw = simulate.DrawCrowd
 	}
+	if *throng {
+		draw = simulate.DrawThrong
+	}
+	if *replaced > 0 {
+		drawn := draw
+		draw = func(seed uint64) simulate.Scenario {
+			s := drawn(seed)
+			s.Replaced = min(*replaced, s.Backends)
+			return s
+		}
+	}
 	if *seed > 0 {
 		one(*seed, *trace)
 		return
@@ -87,6 +100,8 @@
 				sum.Unreached += r.Unreached
 				sum.Excused += r.Excused
 				sum.Runs += r.Runs
+				sum.Fallen += r.Fallen
+				sum.Coldest = max(sum.Coldest, r.Coldest)
 				mu.Unlock()
 			}
 		})
@@ -96,5 +111,9 @@
 	fmt.Printf("%d seeds in %v, %.0f a second; %d with a fault\n", count, took.Round(time.Millisecond), float64(count)/took.Seconds(), bad)
 	fmt.Printf("%d requests: %d served, %d refused, %d failed, %d unreached, %d excused; %d runs at backends\n",
 		sum.Requests, sum.Served, sum.Refused, sum.Failed, sum.Unreached, sum.Excused, sum.Runs)
+	if sum.Coldest > 0 {
+		fmt.Printf("cold backends: %d fell; at most %.2f of what one bears, where over two thirds came from ingresses told of its start\n",
+			sum.Fallen, sum.Coldest)
+	}
 	return bad == 0
 }
--- a/internal/simulate/client.go
+++ b/internal/simulate/client.go
@@ -95,7 +95,7 @@
 		n, _ := strconv.ParseInt(t.customer, 16, 64)
 		first = int(n*7) % r.Ingresses
 	}
-	t.gateway = r.gateways[(first+r.rand.IntN(r.spread()))%len(r.gateways)]
+	t.gateway = r.gateways[r.via(first)]
 	var l *link
 	for _, k := range c.links {
 		if k.to == t.gateway && !k.slow && (len(k.queue) == 0 || r.rand.Float64() < r.Pipeline) {
@@ -160,6 +160,26 @@
 	})
 }
 
+// via picks one of the ingresses of a customer, of which first is the first.
+func (r *run) via(first int) int {
+	n := r.spread()
+	if r.Shares == nil {
+		return (first + r.rand.IntN(n)) % len(r.gateways)
+	}
+	all := 0.0
+	for k := range n {
+		all += r.Shares[(first+k)%len(r.gateways)]
+	}
+	at := r.rand.Float64() * all
+	for k := range n - 1 {
+		i := (first + k) % len(r.gateways)
+		if at -= r.Shares[i]; at < 0 {
+			return i
+		}
+	}
+	return (first + n - 1) % len(r.gateways)
+}
+
 // sentAll notes, once all is written, from when the ingress owes an answer.
 func (l *link) sentAll() {
 	if l.closed || l.slow {
