--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -42,3 +42,33 @@
 func (l *lastSend) Cancel(uint32, int)                       {}
 func (l *lastSend) Probe(uint32)                             {}
 func (l *lastSend) After(time.Duration, uint64)              {}
+
+// BenchmarkDelta measures what the list costs a gateway: one member changed, and the order named anew.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range [...]int{59, 840, 4200} {
+		g, err := choice.New(plain(), 7, 0, &lastSend{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		list := backends(uint32(n))
+		g.Members(0, choice.Cached, list)
+		b.Run(fmt.Sprintf("members/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				m := list[i/2%n]
+				m.State = [...]choice.State{choice.Draining, choice.Ready}[i%2]
+				g.Members(0, choice.Delta, []choice.Backend{m})
+			}
+		})
+		b.Run(fmt.Sprintf("use/%d", n), func(b *testing.B) {
+			var order []choice.Use
+			for _, m := range list {
+				order = append(order, choice.Use{Backend: m.ID, Part: 1})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Use(0, order, 16)
+			}
+		})
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -44,13 +44,15 @@
 	return list
 }
 
+var config = choice.Config{
+	Gateways: 300, Self: 17, MaxUnits: 1, MaxAttempts: 1, Cancelling: true,
+	Classes:  []choice.Class{{Aim: 400 * ms, Deadline: 60 * time.Second, Worth: 1}},
+	Plans:    []choice.Plan{{Price: 1}},
+	ColdFrom: 0.15, ColdFor: 10 * time.Second, FallMultiple: 3, FallFor: 1500 * ms,
+}
+
 func open(t *testing.T) *gate {
-	cfg := choice.Config{
-		Gateways: 300, Self: 17, MaxUnits: 1, MaxAttempts: 1, Cancelling: true,
-		Classes:  []choice.Class{{Aim: 400 * ms, Deadline: 60 * time.Second, Worth: 1}},
-		Plans:    []choice.Plan{{Price: 1}},
-		ColdFrom: 0.15, ColdFor: 10 * time.Second, FallMultiple: 3, FallFor: 1500 * ms,
-	}
+	cfg := config
 	g := &gate{t: t, sent: map[uint32]uint32{}, times: map[uint32]int{}}
 	var err error
 	if g.Gateway, err = choice.New(cfg, 1, 0, g); err != nil {
