Wait for no timer between tries of discovery where the time is over already

By the source of the runtime a channel timer that is due when it is made runs on the goroutine that waits for it, under the race context of its synctest bubble, which another may be using for a timer just then (time.go, unlockAndRun). Between tries of discovery such a timer was waited for wherever a try had taken longer than the time between two. It is left out; the loop looks at the context all the same.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -214,9 +214,11 @@
 		}
 		// What discovery has counts as told though no watch is open: one that has
 		// lasted is begun anew at once, one that ends as soon as it begins is not.
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchRetry - time.Since(begun)):
+		if wait := watchRetry - time.Since(begun); wait > 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
 		}
 	}
 }
