--- a/cmd/wickarch/starts_test.go
+++ b/cmd/wickarch/starts_test.go
@@ -22,7 +22,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		w.Write(append(list, '\n'))
+		fmt.Fprintf(w, "%s\n", list)
 		if r.URL.Query().Get("stream") != "" {
 			w.(http.Flusher).Flush()
 			<-r.Context().Done()
