Keep rows and ranks of the subset from one list to the next; a change costs its own draws

Cause (see the benchmark before): a delta of one member sorted all backends twice, and the fit that follows once a span drew for every gateway and backend, 480 x 4,200, on the reactor's goroutine.

Change: subset.Set.Update takes changes one by one: it looks the key up, and puts a member in at its place by score. The fit of a large fleet (more than 65,536 draws) keeps each gateway's row of least scores: one that comes costs a draw a gateway, one that goes is struck, a row that gets too short is drawn anew. It runs in steps of some 32,768 draws and places, one a request, while the parts of before hold. A fit comes out as the first would, whatever came before. fleet tells changes, and the list where more than an eighth of it has changed.

The gateway itself learns of each drain at once, as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,14 +6,18 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"wickarch/choice"
 	"wickarch/subset"
 )
 
-// staleAims is how many of the longest aims an answer tells of its backend.
-const staleAims = 1.0
+const (
+	staleAims = 1.0 // how many of the longest aims an answer tells of its backend
+	fewOf     = 8   // changes up to one in so many of the list are told one by one: more are cheaper as a list
+)
 
 // Fleet is the backends of one gateway. Its methods must not be called from
 // within the gateway's actions, but for Sent.
@@ -23,6 +27,7 @@
 	ready   map[uint32]subset.Backend // those that take new work
 	out     int                       // attempts
 	uses    []choice.Use
+	changes []subset.Change // scratch
 }
 
 // New makes a fleet for a gateway that was made with cfg.
@@ -46,21 +51,39 @@
 	if kind == choice.Failed {
 		return
 	}
+	f.changes = f.changes[:0]
 	if kind != choice.Delta {
-		clear(f.ready)
+		named := make(map[uint32]bool, len(list))
+		for _, b := range list {
+			named[b.ID] = true
+		}
+		for id, is := range f.ready {
+			if !named[id] {
+				delete(f.ready, id)
+				f.changes = append(f.changes, subset.Change{Backend: is, Gone: true})
+			}
+		}
 	}
 	for _, b := range list {
+		is, known := f.ready[b.ID]
 		if b.State == choice.Ready {
-			f.ready[b.ID] = subset.Backend{ID: b.ID, Key: key(b), Zone: b.Zone, Weight: b.Weight}
-		} else {
+			if now := (subset.Backend{ID: b.ID, Key: key(b), Zone: b.Zone, Weight: b.Weight}); !known || is != now {
+				f.ready[b.ID] = now
+				f.changes = append(f.changes, subset.Change{Backend: now})
+			}
+		} else if known {
 			delete(f.ready, b.ID)
+			f.changes = append(f.changes, subset.Change{Backend: is, Gone: true})
 		}
 	}
-	all := make([]subset.Backend, 0, len(f.ready))
-	for _, b := range f.ready {
-		all = append(all, b)
+	few := len(f.changes) <= len(f.ready)/fewOf
+	if few {
+		f.set.Update(f.changes)
+	}
+	// Of two ids with one key the set knows one; that the other takes its place no change tells.
+	if !few || f.set.Len() != len(f.ready) {
+		f.set.Members(slices.Collect(maps.Values(f.ready)))
 	}
-	f.set.Members(all)
 	f.use(now)
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,8 +53,9 @@
 	ColdFrom: 0.15, ColdFor: 10 * time.Second, FallMultiple: 3, FallFor: 1500 * ms,
 }
 
-func open(t *testing.T) *gate {
-	cfg := config
+func open(t *testing.T) *gate { return openWith(t, config) }
+
+func openWith(t *testing.T, cfg choice.Config) *gate {
 	g := &gate{t: t, sent: map[uint32]uint32{}, times: map[uint32]int{}}
 	var err error
 	if g.Gateway, err = choice.New(cfg, 1, 0, g); err != nil {
@@ -193,3 +196,73 @@
 		})
 	}
 }
+
+// Deltas, a run of them and whole lists that make one list make one order.
+func TestDeltasMakeTheOrderOfTheList(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		cfg := config
+		cfg.Gateways = []int{300, 1000}[seed%2]
+		deltas, whole := openWith(t, cfg), openWith(t, cfg)
+		list := backends(1, 100)
+		for n := range 60 {
+			var changed []choice.Backend
+			for range 1 + rng.IntN([]int{2, 30}[n%2]) {
+				b := &list[rng.IntN(len(list))]
+				b.State = []choice.State{choice.Ready, choice.Ready, choice.Draining, choice.Removed}[rng.IntN(4)]
+				if rng.IntN(10) == 0 {
+					b.Weight = float64(1 + rng.IntN(3))
+				}
+				changed = append(changed, *b)
+			}
+			listed := slices.DeleteFunc(slices.Clone(list), func(b choice.Backend) bool { return b.State == choice.Removed })
+			if n%7 == 6 {
+				deltas.Fleet.Members(deltas.now, choice.Full, listed, key)
+			} else {
+				deltas.Fleet.Members(deltas.now, choice.Delta, changed, key)
+			}
+			whole.Fleet.Members(whole.now, choice.Full, listed, key)
+			order := func(g *gate) (ids []uint32) {
+				for _, v := range g.View(g.now) {
+					ids = append(ids, v.ID)
+				}
+				return ids
+			}
+			a, of := deltas.Size()
+			b, also := whole.Size()
+			if got, want := order(deltas), order(whole); !slices.Equal(got, want) || a != b || of != also {
+				t.Fatalf("seed %d, change %d: %d of %d %v, want %d of %d %v", seed, n, a, of, got, b, also, want)
+			}
+		}
+	}
+}
+
+// Of two with one key one is in use; when it goes the other takes its place.
+func TestTwoWithOneKey(t *testing.T) {
+	g := open(t)
+	twin := choice.Backend{ID: 500, Weight: 1}
+	same := func(b choice.Backend) uint64 {
+		if b.ID == 500 {
+			b.ID = 7
+		}
+		return key(b)
+	}
+	has := func() (n int) {
+		for _, v := range g.View(g.now) {
+			if v.ID == 7 || v.ID == 500 {
+				n++
+			}
+		}
+		return n
+	}
+	for _, gone := range []uint32{7, 500} {
+		g.Fleet.Members(g.now, choice.Delta, []choice.Backend{{ID: 7, Weight: 1}, twin}, same)
+		if has() != 1 {
+			t.Errorf("with both listed %d are in the order", has())
+		}
+		g.Fleet.Members(g.now, choice.Delta, []choice.Backend{{ID: gone, State: choice.Removed}}, same)
+		if has() != 1 {
+			t.Errorf("when %d has gone %d are in the order", gone, has())
+		}
+	}
+}
--- a/subset/bench_test.go
+++ b/subset/bench_test.go
@@ -8,7 +8,8 @@
 	"wickarch/subset"
 )
 
-// BenchmarkDelta measures a list that differs by one member, and the fit that follows once in a span of Stale.
+// BenchmarkDelta measures a list that differs by one member, and the whole fit that follows once in a span of
+// Stale, in however many steps.
 func BenchmarkDelta(b *testing.B) {
 	for _, n := range [...]int{59, 840, 4200} {
 		for _, gateways := range [...]int{23, 300, 480, 1000} {
@@ -32,9 +33,28 @@
 					s.Members(list[i%2:])
 					now += 2 * stale
 					b.StartTimer()
-					s.Step(now)
+					for s.Step(now) || subset.Busy(s) {
+					}
 				}
 			})
 		}
 	}
 }
+
+// BenchmarkStep measures one step of a fit: the longest that a request waits for it.
+func BenchmarkStep(b *testing.B) {
+	list := backends(0, 4200, 5)
+	s := open(b, subset.Config{Gateways: 480}, list)
+	now, longest, i := time.Duration(0), time.Duration(0), 0
+	for b.Loop() {
+		if !subset.Busy(s) { // a zone goes, and comes back
+			i++
+			s.Members(list[i%2*840:])
+			now += stale
+		}
+		begun := time.Now()
+		s.Step(now)
+		longest = max(longest, time.Since(begun))
+	}
+	b.ReportMetric(float64(longest.Microseconds()), "us-at-most")
+}
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -31,8 +31,6 @@
 	rateSpans = 2.0  // spans of Config.Stale over which the rate is averaged while it grows ...
 	restSpans = 30.0 // ... and while it falls: a set shrinks slowly, as its connections are paid for
 	stepUp    = 1.25 // the size changes only where the need is off by more than this, so that noise moves nothing
-	rounds    = 12   // of proportional fitting, at most
-	fitted    = 0.02 // it ends once every backend is this close to its part
 	pull      = 20.0 // how much more a backend of the own zone is worth, for each unit of the price of leaving it ...
 	freely    = 0.03 // ... beyond this: for less the zone is left freely, as to prefer it makes the fleet's load uneven
 	away      = 0.25 // part of the work that leaves the zone at least: its loss must not be met by strangers alone
@@ -61,14 +59,18 @@
 	Part float64 // of the gateway's work while the first Size are in use, 1 on average; beyond them an estimate
 }
 
-// Set is what one gateway uses. It is not safe for concurrent use.
+// Set is what one gateway uses. It is not safe for concurrent use. It keeps about
+// 120 bytes for each backend, and in a large fleet what a fit leaves for the next:
+// see fitting.
 type Set struct {
-	cfg   Config
-	list  []Backend // by key
-	size  int
-	order []Use
-	even  map[uint64]float64 // factors of parts, by key, as last fitted
-	stray bool               // the list has changed since
+	cfg    Config
+	list   []*member // by key
+	ranked []*member // by score; nil while all are in use
+	own    float64   // how much more the own zone counts in these scores
+	size   int
+	order  []Use
+	fit    fitting
+	stray  bool // the list has changed since the last fit began
 
 	rate  float64 // attempts a second
 	out   float64 // attempts out, most of late
@@ -76,12 +78,14 @@
 	sent  int     // since the last step
 	peak  int     // attempts out at most since then
 	next  time.Duration
-	rows  []pair // scratch of the fitting
 }
 
-type pair struct {
-	score float64
-	to    int32 // place in list
+// member is one backend of the list, as this gateway ranks it.
+type member struct {
+	Backend
+	draw  float64 // -ln of the gateway's draw for it; 0: not drawn yet
+	score float64 // that over its weight
+	part  float64 // factor as last fitted
 }
 
 // New makes a set. Its error names the field of cfg that cannot be served.
@@ -121,8 +125,8 @@
 // over the weight, the least first, backends come as often as they weigh (weighted
 // rendezvous hashing: Schindelhauer and Schomaker, "Weighted distributed hash
 // tables", SPAA 2005).
-func draw(gateway uint64, b *Backend) float64 {
-	return (float64(mix(b.Key^gateway)>>11) + 0.5) / (1 << 53)
+func draw(gateway, key uint64) float64 {
+	return (float64(mix(key^gateway)>>11) + 0.5) / (1 << 53)
 }
 
 func weightOf(b *Backend) float64 {
@@ -137,13 +141,73 @@
 // at once; parts are fitted to a list that changes again and again once in each
 // span of Config.Stale, as that costs time for every gateway and backend.
 func (s *Set) Members(list []Backend) {
-	s.list = append(s.list[:0], list...)
-	slices.SortStableFunc(s.list, func(a, b Backend) int { return cmp.Compare(a.Key, b.Key) })
-	s.list = slices.CompactFunc(s.list, func(a, b Backend) bool { return a.Key == b.Key })
+	type place struct {
+		key uint64
+		at  int
+	}
+	places := make([]place, len(list))
+	for i := range list {
+		places[i] = place{list[i].Key, i}
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Or(cmp.Compare(a.key, b.key), a.at-b.at) })
+	all := make([]member, 0, len(list))
+	s.list, s.ranked = make([]*member, 0, len(list)), nil
+	for i, p := range places {
+		if i == 0 || p.key != places[i-1].key {
+			all = append(all, member{Backend: list[p.at], part: s.fit.factorOf(p.key)})
+			s.list = append(s.list, &all[len(all)-1])
+		}
+	}
+	s.changed()
+}
+
+// Change is one change of the list.
+type Change struct {
+	Backend
+	Gone bool // it takes no new work; its ID and Key alone count
+}
+
+// Update takes changes of the list, one after the other. It leaves what Members
+// would with the list that they make, but looks only at what has changed. One
+// whose key stands under another ID is left out, as Len shows.
+func (s *Set) Update(changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		i, known := slices.BinarySearchFunc(s.list, c.Key, func(m *member, key uint64) int { return cmp.Compare(m.Key, key) })
+		if known && s.list[i].ID != c.ID || !known && c.Gone {
+			continue
+		}
+		if known {
+			if s.ranked != nil {
+				at, _ := slices.BinarySearchFunc(s.ranked, s.list[i], byScore)
+				s.ranked = slices.Delete(s.ranked, at, at+1)
+			}
+			s.list = slices.Delete(s.list, i, i+1)
+		}
+		if !c.Gone {
+			m := &member{Backend: c.Backend, part: s.fit.factorOf(c.Key)}
+			s.list = slices.Insert(s.list, i, m)
+			if s.ranked != nil {
+				s.weigh(m)
+				at, _ := slices.BinarySearchFunc(s.ranked, m, byScore)
+				s.ranked = slices.Insert(s.ranked, at, m)
+			}
+		}
+	}
+	s.changed()
+}
+
+// Len is how many backends the list holds.
+func (s *Set) Len() int { return len(s.list) }
+
+// changed follows the list.
+func (s *Set) changed() {
 	s.resize()
 	s.stray = true
-	if s.even == nil && !s.Whole() {
-		s.fit()
+	if s.fit.factors == nil && !s.Whole() {
+		s.refit(math.MaxInt)
 	}
 	s.arrange()
 }
@@ -154,11 +218,25 @@
 	s.peak = max(s.peak, out)
 }
 
-// Step takes the time. It returns true if Order or Size has changed.
+// Step takes the time. It returns true if Order or Size has changed. In a large
+// fleet one call does a small part of a fit; the parts of before hold meanwhile.
 func (s *Set) Step(now time.Duration) bool {
-	if now < s.next {
-		return false
+	due := now >= s.next
+	resized := due && s.follow(now)
+	s.stray = s.stray || resized && s.fit.busy // that fit is for the size of before
+	changed := resized || due && s.stray
+	if !s.Whole() && (changed || s.fit.busy) {
+		changed = s.refit(stepWork) || resized
 	}
+	if changed {
+		s.arrange()
+	}
+	return changed
+}
+
+// follow works out anew, once a span, how many backends the traffic asks for, and
+// tells whether that is another size.
+func (s *Set) follow(now time.Duration) bool {
 	span := (now - s.next + s.cfg.Stale).Seconds()
 	s.next = now + s.cfg.Stale
 	follow := func(v *float64, seen float64) {
@@ -174,15 +252,7 @@
 	if need := max(s.rate*s.cfg.Stale.Seconds(), roomOut*s.out); need > s.level || need*stepUp < s.level {
 		s.level = need * math.Sqrt(stepUp) // room on both sides, so that the need may wander
 	}
-	resized := s.resize()
-	if !resized && !s.stray {
-		return false
-	}
-	if (resized || s.stray) && !s.Whole() {
-		s.fit()
-	}
-	s.arrange()
-	return true
+	return s.resize()
 }
 
 // Size is how many of Order are in use while all of them take work.
@@ -210,40 +280,46 @@
 func (s *Set) arrange() {
 	s.order = s.order[:0]
 	if s.Whole() { // as the list stands, so that nothing hangs on a rank that means nothing
-		for i := range s.list {
-			s.order = append(s.order, Use{s.list[i].ID, 1})
+		s.ranked = nil
+		for _, m := range s.list {
+			s.order = append(s.order, Use{m.ID, 1})
 		}
 		return
 	}
-	own := s.zoneWeight()
-	row := s.rows[:0]
-	for i := range s.list {
-		b := &s.list[i]
-		w := weightOf(b)
-		if b.Zone == s.cfg.Zone {
-			w *= own
+	if own := s.zoneWeight(); s.ranked == nil || own != s.own {
+		s.own = own
+		s.ranked = append(s.ranked[:0], s.list...)
+		for _, m := range s.ranked {
+			s.weigh(m)
 		}
-		row = append(row, pair{-math.Log(draw(mix(uint64(s.cfg.Self)), b)) / w, int32(i)})
+		slices.SortFunc(s.ranked, byScore)
 	}
-	slices.SortFunc(row, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.to, b.to))
-	})
 	sum := 0.0
-	for i, p := range row {
-		b := &s.list[p.to]
-		part, ok := s.even[b.Key]
-		if !ok {
-			part = 1 // new, until the next fit
-		}
+	for i, m := range s.ranked {
 		if i < s.size {
-			sum += part
+			sum += m.part
 		}
-		s.order = append(s.order, Use{b.ID, part})
+		s.order = append(s.order, Use{m.ID, m.part})
 	}
 	for i := range s.order {
 		s.order[i].Part *= float64(s.size) / sum
 	}
-	s.rows = row[:0]
+}
+
+// weigh works out the score of a backend at this gateway.
+func (s *Set) weigh(m *member) {
+	if m.draw == 0 {
+		m.draw = -math.Log(draw(mix(uint64(s.cfg.Self)), m.Key))
+	}
+	w := weightOf(&m.Backend)
+	if m.Zone == s.cfg.Zone {
+		w *= s.own
+	}
+	m.score = m.draw / w
+}
+
+func byScore(a, b *member) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Key, b.Key))
 }
 
 // zoneWeight is how much more a backend of the own zone counts: as the price of
@@ -251,14 +327,18 @@
 // which each zone is taken to have as many), and never so far that its loss
 // would leave nothing in use.
 func (s *Set) zoneWeight() float64 {
-	zones := map[int]bool{}
+	if s.cfg.CrossZoneCost <= freely {
+		return 1
+	}
+	var zones []int
 	all, own := 0.0, 0.0
-	for i := range s.list {
-		b := &s.list[i]
-		zones[b.Zone] = true
-		all += weightOf(b)
-		if b.Zone == s.cfg.Zone {
-			own += weightOf(b)
+	for _, m := range s.list {
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+		all += weightOf(&m.Backend)
+		if m.Zone == s.cfg.Zone {
+			own += weightOf(&m.Backend)
 		}
 	}
 	share := own / all
@@ -269,102 +349,18 @@
 	return max(1, min(1+pull*max(0, s.cfg.CrossZoneCost-freely), most*(1-share)/(share*(1-most))))
 }
 
-// fit works out, for each backend, the factor by which every gateway multiplies
-// its part so that what all gateways together give each is as its weight, if all
-// have as much to give and as many in use as this one.
-func (s *Set) fit() {
-	s.stray = false
-	n, k := len(s.list), s.size
-	alike := !slices.ContainsFunc(s.list, func(b Backend) bool { return weightOf(&b) != weightOf(&s.list[0]) })
-	uses := make([]int32, 0, s.cfg.Gateways*k)
-	heap := make([]pair, 0, k)
-	for j := range s.cfg.Gateways {
-		heap = heap[:0]
-		gateway := mix(uint64(j))
-		for i := range s.list {
-			b := &s.list[i]
-			u, w := draw(gateway, b), 1.0
-			rank := 1 - u // ranks as -ln u does
-			if !alike {
-				w = weightOf(b)
-			}
-			if len(heap) == k && rank > heap[0].score*w {
-				continue // -ln u is no less: most need no logarithm
-			}
-			if !alike {
-				rank = -math.Log(u) / w
-			}
-			heap = keep(heap, k, pair{rank, int32(i)})
-		}
-		for _, p := range heap {
-			uses = append(uses, p.to)
-		}
+// refit begins a fit, or goes on with one, for about so many units of work. It
+// tells whether the fit has ended and its parts are in force.
+func (s *Set) refit(work int) bool {
+	if !s.fit.busy {
+		s.stray = false
+		s.fit.begin(s.list, s.cfg.Gateways, s.size)
 	}
-	want, total := make([]float64, n), 0.0
-	for i := range s.list {
-		want[i] = weightOf(&s.list[i])
-		total += want[i]
-	}
-	factor, got := make([]float64, n), make([]float64, n)
-	for i := range want {
-		want[i] *= float64(s.cfg.Gateways) / total
-		factor[i] = 1
-	}
-	for range rounds {
-		clear(got)
-		for j := 0; j < len(uses); j += k {
-			sum := 0.0
-			for _, i := range uses[j : j+k] {
-				sum += factor[i]
-			}
-			sum = 1 / sum
-			for _, i := range uses[j : j+k] {
-				got[i] += factor[i] * sum
-			}
-		}
-		off := 0.0
-		for i := range factor {
-			if got[i] > 0 { // nobody uses it otherwise
-				off = max(off, math.Abs(got[i]/want[i]-1))
-				factor[i] *= want[i] / got[i]
-			}
-		}
-		if off < fitted {
-			break
-		}
-	}
-	s.even = make(map[uint64]float64, n)
-	for i := range factor {
-		s.even[s.list[i].Key] = factor[i]
-	}
-}
-
-// keep adds a pair to a heap of the k least, the greatest on top.
-func keep(h []pair, k int, p pair) []pair {
-	less := func(a, b pair) bool { return a.score < b.score || a.score == b.score && a.to < b.to }
-	if len(h) < k {
-		h = append(h, p)
-		for i := len(h) - 1; i > 0 && less(h[(i-1)/2], h[i]); i = (i - 1) / 2 {
-			h[(i-1)/2], h[i] = h[i], h[(i-1)/2]
-		}
-		return h
+	if !s.fit.step(work) {
+		return false
 	}
-	if !less(p, h[0]) {
-		return h
-	}
-	h[0] = p
-	for i := 0; ; {
-		c := 2*i + 1
-		if c >= k {
-			return h
-		}
-		if c+1 < k && less(h[c], h[c+1]) {
-			c++
-		}
-		if !less(h[i], h[c]) {
-			return h
-		}
-		h[i], h[c] = h[c], h[i]
-		i = c
+	for _, m := range s.list {
+		m.part = s.fit.factorOf(m.Key)
 	}
+	return true
 }
