Take a run of changes of one round as one list; find who shares an address by the address

Change: what discovery tells gathers until the loop's turn, and changes that follow each other come to it as one list of them all, in order. Nothing is put off: the turn is the one that would have taken the first of them.

Where it differs from before: a member told twice within one round (drains and is back, say) keeps its place in the gateway's list of the fleet instead of going to its end. Whole lists stay by themselves, in their place.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -25,6 +25,7 @@
 	loop     *loop
 	stopping bool          // the process is to end
 	admin    *admin.Server // nil without a second address
+	inbox    inbox         // of discovery
 }
 
 // New makes an ingress on a reactor's loop and opens its address. It takes
@@ -59,6 +60,17 @@
 	i.loop.members(kind, m)
 }
 
+// tell takes what discovery tells, from any goroutine.
+func (i *Ingress) tell(m MemberList) {
+	if i.inbox.put(m) {
+		i.loop.Post(func() {
+			for _, m := range i.inbox.take() {
+				i.Members(m)
+			}
+		})
+	}
+}
+
 // Asked tells that discovery was asked for the list, whether or not it answered.
 func (i *Ingress) Asked() { i.loop.open() }
 
@@ -154,7 +166,7 @@
 	}
 	return &Server{Ingress: i, claim: claim, addr: i.Addr(), world: world,
 		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
-		sources: newSources(func(m MemberList) { i.loop.Post(func() { i.Members(m) }) })}, nil
+		sources: newSources(i.tell)}, nil
 }
 
 // Reload takes what may change while the ingress runs: the address of
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -94,6 +94,7 @@
 	sink     Sink
 	byName   map[string]*backend
 	byID     map[uint32]*backend
+	byAddr   map[string][]*backend // of those in byName
 	lastID   uint32
 	stale    float64 // share of kept connections that were reset at their next request
 	open     int     // connections, those coming up among them
@@ -129,7 +130,8 @@
 		cfg.Proof = usualProof
 	}
 	return &Pool{cfg: cfg, loop: loop, sink: sink, byName: map[string]*backend{}, byID: map[uint32]*backend{},
-		in: make([]byte, sharedBuffer)}
+		byAddr: map[string][]*backend{},
+		in:     make([]byte, sharedBuffer)}
 }
 
 // Round sends what waited for its connection, and tells the outcomes that have
@@ -194,31 +196,46 @@
 	if b == nil {
 		p.lastID++
 		b = &backend{id: p.lastID, name: m.Name, addr: m.Address}
-		p.byName[m.Name], p.byID[b.id] = b, b
+		p.list(b)
 	}
 	if b.addr != m.Address && m.Address != "" {
 		b.stop()
 		// Attempts under way keep the old record, and their connections with it.
+		p.drop(b)
 		b = &backend{id: b.id, name: m.Name, addr: m.Address}
-		p.byName[m.Name], p.byID[b.id] = b, b
+		p.list(b)
 	}
 	b.since = m.Since
 	if b.stopped = m.State != choice.Ready; b.stopped {
 		b.stop()
 	}
 	if m.State == choice.Removed {
-		delete(p.byName, m.Name)
-		delete(p.byID, b.id)
+		p.drop(b)
 	}
 	return b.id
 }
 
+func (p *Pool) list(b *backend) {
+	p.byName[b.name], p.byID[b.id] = b, b
+	p.byAddr[b.addr] = append(p.byAddr[b.addr], b)
+}
+
+func (p *Pool) drop(b *backend) {
+	delete(p.byName, b.name)
+	delete(p.byID, b.id)
+	if at := slices.DeleteFunc(p.byAddr[b.addr], func(o *backend) bool { return o == b }); len(at) > 0 {
+		p.byAddr[b.addr] = at
+	} else {
+		delete(p.byAddr, b.addr)
+	}
+}
+
 // Sharing returns another backend at the address of m, which serves as far as
 // discovery has told.
 func (p *Pool) Sharing(m Member) (other Member, any bool) {
-	for name, b := range p.byName {
-		if name != m.Name && b.addr == m.Address && !b.stopped && (!any || name < other.Name) {
-			other, any = Member{Name: name, Address: b.addr, Since: b.since}, true
+	for _, b := range p.byAddr[m.Address] {
+		if b.name != m.Name && !b.stopped && (!any || b.name < other.Name) {
+			other, any = Member{Name: b.name, Address: b.addr, Since: b.since}, true
 		}
 	}
 	return other, any
@@ -229,8 +246,7 @@
 	for _, name := range slices.Sorted(maps.Keys(p.byName)) { // in the same order each time
 		if b := p.byName[name]; !named[name] {
 			b.stop()
-			delete(p.byName, name)
-			delete(p.byID, b.id)
+			p.drop(b)
 		}
 	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"strings"
 	"testing"
@@ -682,3 +683,51 @@
 	b.reply(b.far.conns[1], answer("v"))
 	b.want(choice.OK)
 }
+
+// The backend that shares an address is found among those there, whatever else has come, gone or moved.
+func TestSharingLooksAtTheAddressAlone(t *testing.T) {
+	b := newBench(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 3000 {
+		m := Member{Name: fmt.Sprint(rng.IntN(12)), Address: fmt.Sprint("10.0.0.", rng.IntN(6), ":7"), Since: rng.Int64N(4),
+			State: []choice.State{choice.Ready, choice.Ready, choice.Draining, choice.Removed}[rng.IntN(4)]}
+		if rng.IntN(50) == 0 {
+			b.Keep(map[string]bool{"1": true, "2": true, "7": true})
+		}
+		b.Member(m)
+		var want Member
+		any := false
+		for _, o := range b.byName { // as it was found before: among all
+			if o.name != m.Name && o.addr == m.Address && !o.stopped && (!any || o.name < want.Name) {
+				want, any = Member{Name: o.name, Address: o.addr, Since: o.since}, true
+			}
+		}
+		if got, found := b.Sharing(m); got != want || found != any {
+			t.Fatalf("%v shares with %v (%v), want %v (%v)", m, got, found, want, any)
+		}
+		at := 0
+		for addr, all := range b.byAddr {
+			if at += len(all); len(all) == 0 {
+				t.Fatalf("%s is kept with nobody there", addr)
+			}
+		}
+		if at != len(b.byName) {
+			t.Fatalf("%d are at addresses, %d have names", at, len(b.byName))
+		}
+	}
+}
+
+// BenchmarkSharing measures the look for another backend at an address, once a member of each list.
+func BenchmarkSharing(b *testing.B) {
+	for _, n := range [...]int{59, 840, 4200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := New(Config{}, nil, nil)
+			for i := range n {
+				p.Member(Member{Name: fmt.Sprint(i), Address: fmt.Sprint("10.0.0.1:", i), State: choice.Ready})
+			}
+			for b.Loop() {
+				p.Sharing(Member{Name: "0", Address: "10.0.0.1:0"})
+			}
+		})
+	}
+}
