Draw a row anew only if it is too short once the new backends are in

Seen: of 4,200 backends 840 go and come back: the fit made 2.18 million draws and looks, as many as a first one. Most rows were 132 long where 140 were in use again, and were drawn anew though the new ones would have filled them.

--- a/subset/change_test.go
+++ b/subset/change_test.go
@@ -216,6 +216,25 @@
 	}
 }
 
+// A fifth of the fleet that goes is struck from the rows, and one that comes back is drawn alone.
+func TestZoneCostsItsOwnDraws(t *testing.T) {
+	list := backends(0, 1600, 5)
+	s := open(t, subset.Config{Gateways: 480}, list)
+	whole := subset.Work(s)
+	now := time.Duration(0)
+	for _, part := range [][]subset.Backend{list[320:], list, list[:1280], list} {
+		s.Members(part)
+		before := subset.Work(s)
+		for now += stale; s.Step(now) || subset.Busy(s); {
+		}
+		cost := subset.Work(s) - before
+		t.Logf("%d of %d listed: %d draws and places, %d for the first fit", len(part), len(list), cost, whole)
+		if cost > whole/2 {
+			t.Errorf("%d of %d listed: %d draws and places, want half of a first fit at most", len(part), len(list), cost)
+		}
+	}
+}
+
 // One step does a bounded part of a large fit, whatever has changed.
 func TestStepIsBounded(t *testing.T) {
 	list := backends(0, 1200, 5)
--- a/subset/fit.go
+++ b/subset/fit.go
@@ -155,7 +155,7 @@
 		most = min(len(f.list), f.size+spare+f.size/spare)
 	}
 	switch {
-	case len(stay) < f.size || 2*len(f.came) > len(f.list):
+	case len(stay) == 0 || 2*len(f.came) > len(f.list):
 		f.rows[j] = f.draw(gateway, most)
 		return
 	case cap(stay) > 2*most:
@@ -179,6 +179,9 @@
 		stay = slices.Insert(stay, at, i)
 		worst = f.score(gateway, stay[len(stay)-1])
 	}
+	if len(stay) < f.size {
+		stay = f.draw(gateway, most)
+	}
 	f.rows[j] = stay
 }
 
