End a connection behind a value that broke off without a reset over what is unread

Seen (virtual time): a payment's answer and, behind it, a large value that had broken off fell due in one round, while further commands lay unread behind 128 open ones. The connection was closed over them, and the reset took the payment's answer with it: the client got nothing. Cause: client.pour called close; every other end goes by shut. Change: it ends the sending, drops what is still due, ends the open requests, and closes after the time for lingering, as after all other ends. The client can tell that the value is not whole as before. Ruled out: broken frames, too many wrong commands, half a command, drain and finish, with clients that send on all the while: what was due came first.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -50,7 +50,7 @@
 			// The client can tell by the end of its connection that the value is
 			// not whole. There is no other way to say so within a bulk string.
 			s.ended(false)
-			c.close()
+			c.breakOff()
 			return false
 		}
 		c.unread += len(b)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -74,7 +74,7 @@
 // Answer gives the slot its one answer.
 func (s *slot) Answer(o outcome) {
 	c := s.client
-	if c.net == nil {
+	if c.net == nil || c.endBy > 0 {
 		if s.body = o.body; s.body != nil {
 			s.abandon()
 		}
@@ -637,6 +637,21 @@
 	f.leave(c)
 	f.loop.Unset(&c.timer)
 	f.door.Leave(&c.place)
+	f.loop.gone(c.forsake())
+}
+
+// breakOff ends the connection behind what has been written, and its open
+// requests. To close it over commands that are not read would be a reset, which
+// takes the answers before with it.
+func (c *client) breakOff() {
+	open := c.forsake()
+	c.shut()
+	c.front.loop.gone(open)
+}
+
+// forsake drops all answers that are due and returns the requests that are open.
+func (c *client) forsake() (open []*request) {
+	f := c.front
 	if c.stall != nil {
 		f.unstall(c)
 		f.held -= c.unread
@@ -644,7 +659,6 @@
 	f.loop.memory.give(c.unread)
 	c.unread, c.unwritten = 0, nil
 	c.keep(nil)
-	var open []*request
 	for s := c.first; s != nil; s = s.next {
 		if !s.filled && s.request != nil {
 			open = append(open, s.request)
@@ -653,8 +667,6 @@
 			s.abandon()
 		}
 	}
-	c.first, c.last = nil, nil
-	if len(open) > 0 {
-		f.loop.gone(open)
-	}
+	c.first, c.last, c.pending = nil, nil, 0
+	return open
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -196,6 +196,9 @@
 
 // gone ends open requests whose client has left.
 func (l *loop) gone(open []*request) {
+	if len(open) == 0 {
+		return
+	}
 	for _, r := range open {
 		if !r.over {
 			r.over = true
