Take no half line with another's answer behind it for a refusal

Seen (virtual time): a backend wrote '-BUSY used=3' without its end on a connection at rest, in the moment after the look at it; the payment written on it ran, its answer filled up the line, and it ended as turned away: it would have been sent once more. Change: a refusal with something behind it that is not the same line again has the outcome of what can't be read. A copy of the line, or a part of it, leaves it a refusal. Ruled out: half lines about the end at rest, about a drain and before the look: nothing is sent on that connection. Left: where the half ends what was read, or a half value is filled up to its very length, nothing in the bytes tells.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"slices"
 	"time"
@@ -227,6 +228,12 @@
 			c.pool.breach()
 			c.fail(choice.Error)
 			return
+		case used > 0 && reply.Status == choice.Refused && !repeats(got[used:], got[:used]):
+			// Half a line that came between requests, and the answer to this one
+			// behind it in the same line: it may have run.
+			c.pool.breach()
+			c.fail(choice.Error)
+			return
 		case used > 0 && reply.large > 0:
 			if c.attempt.Probe {
 				c.pool.breach()
@@ -252,6 +259,12 @@
 	}
 }
 
+// repeats tells whether what stands behind an answer is it once more, or a part of that.
+func repeats(behind, answer []byte) bool {
+	n := min(len(behind), len(answer))
+	return bytes.Equal(behind[:n], answer[:n])
+}
+
 const partLeast = 4 << 10
 
 // answered ends the attempt with the answer; more tells that something stands
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -193,6 +193,8 @@
 		}, choice.OK, "x"},
 		{"answered with a load report", func(b *bench) { b.run(5 * ms); b.reply(b.far.conns[0], []byte("$10\r\ninflight=0\r\n")) }, choice.Error, "x"},
 		{"turned away", func(b *bench) { b.run(5 * ms); b.reply(b.far.conns[0], []byte("-BUSY\r\n")) }, choice.Refused, "x"},
+		{"turned away twice over", func(b *bench) { b.run(5 * ms); b.reply(b.far.conns[0], []byte("-BUSY\r\n-BU")) }, choice.Refused, "x"},
+		{"turned away, and more", func(b *bench) { b.run(5 * ms); b.reply(b.far.conns[0], []byte("-BUSY\r\n*3")) }, choice.Error, "x"},
 		{"spoilt", func(b *bench) { b.run(5 * ms); b.reply(b.far.conns[0], []byte("noise")) }, choice.Error, "x"},
 		{"reset after the request", func(b *bench) { b.run(5 * ms); b.node.Kill(); b.run(5 * ms) }, choice.Reset, "x"},
 		{"ended in the answer", func(b *bench) {
@@ -731,3 +733,50 @@
 		})
 	}
 }
+
+// Half a line that a backend sends on a connection at rest, whenever that is about
+// the next request or the connection's end, is no answer: not with what the
+// connection's next answer begins with, either. What came whole to the backend may have run.
+func TestHalfALineAnswersNothing(t *testing.T) {
+	for _, half := range []string{"-BUSY", "-BUSY ", "-BUSY used=3", "-ERR fail", "*3\r\n$9\r\nwro", "*3\r\n$4\r\n", "$9\r\ninfl", "$", "+"} {
+		for _, about := range []string{"the next request", "the end at rest", "the news of a drain"} {
+			for after := -2 * ms; after <= 2*ms; after += ms / 8 {
+				b := newBench(t)
+				c := b.exchange("first")
+				b.run(2 * fullRest)
+				at := b.net.Now() + 5*ms
+				if about == "the end at rest" {
+					at = b.net.Now() - 2*fullRest + time.Duration(idleShare*10*float64(time.Second))
+				}
+				b.net.After(at+after-b.net.Now()-b.net.Faults.Latency, func() { c.Write([]byte(half)) })
+				b.net.Until(at)
+				if about == "the news of a drain" {
+					b.do(func() { b.Member(Member{Name: "b", State: choice.Draining}) })
+					b.run(10 * ms)
+					b.do(func() { b.Member(Member{Name: "b", State: choice.Ready}) })
+				}
+				ran := false
+				b.far.seen = func(c *farConn) {
+					if string(c.got) == "payment" && !c.over {
+						c.got, ran = nil, true
+						c.Write(answer("right"))
+					}
+				}
+				b.begin("payment")
+				b.run(patience + 10*ms)
+				if len(b.ends) != 1 {
+					t.Fatalf("%q %v after %s: %d outcomes", half, after, about, len(b.ends))
+				}
+				switch r := b.ends[0].reply; {
+				case r.Status == choice.OK && string(r.Value) != "right":
+					t.Errorf("%q %v after %s: served with %q", half, after, about, r.Value)
+				case ran && (r.Status == choice.Refused || r.Status == choice.ConnectFailed):
+					t.Errorf("%q %v after %s: it ran, and ends as %v", half, after, about, r.Status)
+				}
+				if about != "the next request" && b.ends[0].reply.Status != choice.OK {
+					t.Errorf("%q %v after %s: the next request ends as %v", half, after, about, b.ends[0].reply.Status)
+				}
+			}
+		}
+	}
+}
