Force the look before a connection is closed at its time, and an end over unread calls

Need: a close over unread bytes takes answers with it; two places had a guard and no test that fails without it: the backend's answer that came between the poller's look and the timer, and a call to the second address that is too long, of which a part is unread when its answer is written.

--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -107,6 +107,8 @@
 		{"GET /else", "", 404, ""},
 		{"GET", "", 400, ""},
 		{"GET /status", "X: " + strings.Repeat("x", mostCall) + "\r\n\r\n", 431, ""},
+		// Some of it is unread when the answer is written: a close then would be a reset.
+		{"GET /status", "X: " + strings.Repeat("x", 2*mostCall-1<<10) + "\r\n\r\n", 431, ""},
 	} {
 		more := c.more
 		if more == "" {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -780,3 +780,24 @@
 		}
 	}
 }
+
+// At its time a connection is closed only behind a look for what has come since the
+// poller was asked: the close would take the answer with it.
+func TestAnswerThatCameInTimeIsReadBeforeTheClose(t *testing.T) {
+	for name, text := range map[string]string{"whole": string(answer("v")), "begun before": string(answer("v"))[6:]} {
+		b := newBench(t)
+		a := b.begin("x")
+		b.run(5 * ms)
+		if name != "whole" {
+			b.reply(b.far.conns[0], answer("v")[:6])
+		}
+		b.near.Pause() // its poller tells nothing
+		b.far.conns[0].Write([]byte(text))
+		b.run(2 * patience)
+		a.conn.Ring()
+		b.near.Resume()
+		b.run(5 * ms)
+		b.Log(name)
+		b.want(choice.OK)
+	}
+}
