Keep the mutant of an answer that can't be read where it was

The new case stood between the two lines that the mutant names, and would have been taken out in its place; it stands behind the large values now. No change of behaviour.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -228,12 +228,6 @@
 			c.pool.breach()
 			c.fail(choice.Error)
 			return
-		case used > 0 && reply.Status == choice.Refused && !repeats(got[used:], got[:used]):
-			// Half a line that came between requests, and the answer to this one
-			// behind it in the same line: it may have run.
-			c.pool.breach()
-			c.fail(choice.Error)
-			return
 		case used > 0 && reply.large > 0:
 			if c.attempt.Probe {
 				c.pool.breach()
@@ -242,6 +236,12 @@
 			}
 			c.begin(reply, got[used:])
 			return
+		case used > 0 && reply.Status == choice.Refused && !repeats(got[used:], got[:used]):
+			// Half a line that came between requests, and the answer to this one
+			// behind it in the same line: it may have run.
+			c.pool.breach()
+			c.fail(choice.Error)
+			return
 		case used > 0:
 			c.answered(reply, len(got) > used)
 			return
