Never wait in accept on an inherited socket that another process made blocking

O_NONBLOCK belongs to the open file description, which all share that have an inherited socket. Go's os/exec takes it off for each process that it hands a net.Listener's file to (os.File.Fd), and the process started sets it again only when it listens; one that fails before leaves it off. The reactor's accept4 then waited for the next client, and all open requests with it: seen as the reactor's goroutine in accept4 for as long as the test lasted. That is how TestProcessIsReplacedUnderLoad loses some: its last start fails on purpose, a burst dials once more, and with no further dial nobody is answered (4 lost, 8.5 s and the clients' 11 s).

On an inherited socket a connection is asked for by ppoll before it is accepted, and the flag is set again. Tried before: SO_RCVTIMEO. It bounds accept4 on plain TCP (4 ms), not on Go's listeners of Multipath TCP.

--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -280,6 +281,37 @@
 	}
 }
 
+// Whoever shares an inherited socket shares its O_NONBLOCK: os/exec takes it off for
+// each process that it hands the socket to. Nobody may wait for the next connection then.
+func TestInheritedSocketThatAnotherMakesBlockingHoldsUpNobody(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { held.Close() })
+	b := newBackend(t)
+	r := newRig(t, inherits(t, held), b.member("s-1"))
+	raw, err := held.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { // whoever waits for a connection gets one, and waits for no other
+		raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
+		if c, err := standin.Dial(r.server.Addr(), patience); err == nil {
+			c.Close()
+		}
+	})
+	for range 3 { // again and again
+		if failed := raw.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), false) }); errors.Join(failed, err) != nil {
+			t.Fatal(failed, err)
+		}
+		c := r.dial()
+		c.send("Q.ASK", anyone, newID(), lookup)
+		wait(t, "a command", b.Got).Answer("yes")
+		c.want("$3\r\nyes")
+	}
+}
+
 func TestConfigurationNamesTheSecondAddressAndTheSocket(t *testing.T) {
 	path := t.TempDir() + "/config.json"
 	text := fmt.Sprintf(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","mgmt":"127.0.0.1:3","settings":%s}`, fmt.Sprintf(settings, 15_000))
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -253,8 +253,9 @@
 // listener takes connections.
 type listener struct {
 	socket
-	ln   *net.TCPListener
-	each bool // the connections that it takes do not inherit all options
+	ln        *net.TCPListener
+	each      bool // the connections that it takes do not inherit all options
+	inherited bool // others have it too, and share whether its calls may wait
 }
 
 // options are those of a client's connection. One that a plain TCP socket takes
@@ -313,7 +314,7 @@
 		ln.Close()
 		return nil, fmt.Errorf("listen: %s is no TCP socket", address)
 	}
-	l := &listener{socket: socket{world: s, handler: h, fd: -1}, ln: tcp}
+	l := &listener{socket: socket{world: s, handler: h, fd: -1}, ln: tcp, inherited: strings.HasPrefix(address, inheritedPrefix)}
 	l.socket.ln = l
 	raw, err := l.ln.SyscallConn()
 	if err != nil {
@@ -336,7 +337,7 @@
 }
 
 func (l *listener) Accept() (Conn, error) {
-	if l.fd < 0 {
+	if l.fd < 0 || l.inherited && !l.waiting() {
 		return nil, ErrWait
 	}
 	for {
@@ -360,13 +361,33 @@
 	if l.fd < 0 {
 		return false
 	}
+	n, e := l.look()
+	return e == 0 && n > 0
+}
+
+// look tells how many of this one socket have a connection to be taken.
+func (l *listener) look() (n uintptr, e syscall.Errno) {
 	look := struct { // struct pollfd
 		fd           int32
 		events, what int16
 	}{fd: int32(l.fd), events: syscall.EPOLLIN} // the same bit as POLLIN
 	var at syscall.Timespec // now
-	n, _, e := syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&look)), 1, uintptr(unsafe.Pointer(&at)), 0, 0, 0)
-	return e == 0 && n > 0
+	n, _, e = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&look)), 1, uintptr(unsafe.Pointer(&at)), 0, 0, 0)
+	return n, e
+}
+
+// waiting tells whether a connection waits to be taken. Whoever else has an
+// inherited socket may take O_NONBLOCK off it at any time, as os/exec does when it
+// hands it to the next process; accept4 would then hold up everything until the
+// next client comes. (SO_RCVTIMEO bounds that for plain TCP alone, and Go's own
+// listeners are of Multipath TCP.) One process takes clients at a time, so what
+// waits here is there to be taken; the flag is set again for where two do.
+func (l *listener) waiting() bool {
+	if n, e := l.look(); e == 0 && n == 0 {
+		return false
+	}
+	syscall.SetNonblock(l.fd, true)
+	return true
 }
 
 func (l *listener) Address() string { return l.ln.Addr().String() }
