--- /dev/null
+++ b/distribution/cases_test.go
@@ -0,0 +1,845 @@
+package distribution
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rig is a log with one catalog, for tests that go event by event.
+type rig struct {
+	t     *testing.T
+	c     *Catalog
+	index uint64
+}
+
+func newRig(t *testing.T) *rig { return &rig{t: t, c: NewCatalog()} }
+
+func (g *rig) apply(e Entry) error { g.index++; return g.c.Apply(g.index, e) }
+
+func (g *rig) must(e Entry) {
+	g.t.Helper()
+	if err := g.apply(e); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// pushOf is the entry that sets resources on top of the newest version.
+func (g *rig) pushOf(set ...Resource) Entry {
+	return Entry{Push: &Push{Base: g.c.Version, Set: set, Hash: g.c.Set().with(set, nil).Sum()}}
+}
+
+func (g *rig) push(rate float64) { g.t.Helper(); g.must(g.pushOf(planOf(g.t, "gold", rate))) }
+
+// publisher begins a term; those who ask are in the log.
+func (g *rig) publisher(now time.Duration, names ...string) *Publisher {
+	g.t.Helper()
+	for _, n := range names {
+		g.must(Entry{Join: &Join{map[string]string{n: "r"}}})
+	}
+	timing := DefaultTiming()
+	timing.Fresh = 0 // its own test has it
+	return NewPublisher(timing, g.c, now)
+}
+
+func (g *rig) follower(name string, kept *Kept) *Follower {
+	g.t.Helper()
+	f, err := NewFollower(FollowerConfig{Name: name, Region: "r", Life: 1, Coordinators: 3, Patience: DefaultPatience}, kept, 1, 0)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return f
+}
+
+// ask is the next question of a follower.
+func ask(t *testing.T, f *Follower, now time.Duration) Poll {
+	t.Helper()
+	a := f.Tick(now)
+	if a == nil {
+		t.Fatal("no question is due")
+	}
+	return a.Poll
+}
+
+// exchange asks and takes the reply, keeps and uses it.
+func exchange(t *testing.T, f *Follower, p *Publisher, now time.Duration) (Reply, error) {
+	t.Helper()
+	q := ask(t, f, now)
+	r, held, err := p.Poll(now, q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if held {
+		f.Replied(now, q.Number, Reply{})
+		return r, nil
+	}
+	return r, give(f, now, q.Number, r)
+}
+
+func give(f *Follower, now time.Duration, number uint64, r Reply) error {
+	save, err := f.Replied(now, number, r)
+	if save != nil {
+		f.Saved(now, nil)
+		f.Using(now)
+	}
+	return err
+}
+
+func keptOf(c *Catalog) *Kept {
+	return &Kept{State: State{c.Version, c.Hash, c.Resources}, Settled: c.Settled}
+}
+
+func goldRate(t *testing.T, u *InUse) float64 {
+	t.Helper()
+	p, err := u.Plan(KeyOf(KindPlan, "gold"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p.CeilingRate
+}
+
+// as tells whether an error is of a kind.
+func as[E error](err error) bool { var e E; return errors.As(err, &e) }
+
+func TestDifferenceIsTakenOnceOnItsOwnBaseAlone(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	g.push(1)
+	f := g.follower("a", nil)
+	exchange(t, f, p, 0)
+	g.push(2)
+	q := ask(t, f, time.Second)
+	r2, _, _ := p.Poll(time.Second, q)
+	if r2.Difference == nil || r2.Difference.Base != 1 {
+		t.Fatalf("%+v, want the difference from 1", r2)
+	}
+	// Lost: the next question gets it again, and the late one counts no more.
+	f.Failed(2*time.Second, q.Number, -1)
+	q3 := ask(t, f, 4*time.Second)
+	if err := give(f, 4*time.Second, q.Number, r2); err != nil || f.InUse().Version != 1 {
+		t.Fatalf("a reply that was given up is taken: %v, version %d", err, f.InUse().Version)
+	}
+	r3, _, _ := p.Poll(4*time.Second, q3)
+	if err := give(f, 4*time.Second, q3.Number, r3); err != nil || f.InUse().Version != 2 {
+		t.Fatal(err, f.InUse().Version)
+	}
+	// Repeated to another question: it is for another base.
+	g.push(3)
+	q4 := ask(t, f, 5*time.Second)
+	if err := give(f, 5*time.Second, q4.Number, r2); !as[*WrongBase](err) || f.InUse().Version != 2 {
+		t.Fatalf("%v, version %d", err, f.InUse().Version)
+	}
+	// Of the same version with another hash.
+	q5 := ask(t, f, 6*time.Second)
+	r5, _, _ := p.Poll(6*time.Second, q5)
+	other := *r5.Difference
+	other.BaseHash[0] ^= 1
+	if err := give(f, 6*time.Second, q5.Number, Reply{Difference: &other}); !as[*WrongBase](err) {
+		t.Fatal(err)
+	}
+	// With content that is not what its hash says: the whole is asked for.
+	q6 := ask(t, f, 7*time.Second)
+	other = *r5.Difference
+	other.Set = []Resource{planOf(t, "gold", 9)}
+	if err := give(f, 7*time.Second, q6.Number, Reply{Difference: &other}); !as[*WrongHash](err) || f.InUse().Version != 2 || goldRate(t, f.InUse()) > 2 {
+		t.Fatal(err)
+	}
+	if r, err := exchange(t, f, p, 8*time.Second); err != nil || r.State == nil || f.InUse().Version != 3 {
+		t.Fatalf("%v; %+v; version %d", err, r, f.InUse().Version)
+	}
+}
+
+func TestWholeStateIsTakenByItsHashAndNeverBack(t *testing.T) {
+	g := newRig(t)
+	g.push(1)
+	old := keptOf(g.c).State
+	g.push(2)
+	f := g.follower("a", keptOf(g.c))
+	if err := give(f, 0, ask(t, f, 0).Number, Reply{State: &old, Settled: 1}); err != nil || f.InUse().Version != 2 {
+		t.Fatalf("it goes back to version %d (%v)", f.InUse().Version, err)
+	}
+	f = g.follower("b", nil)
+	bad := old
+	bad.Resources = []Resource{planOf(t, "gold", 7)}
+	if err := give(f, 0, ask(t, f, 0).Number, Reply{State: &bad}); !as[*WrongHash](err) || f.InUse().Version != 0 {
+		t.Fatal(err, f.InUse().Version)
+	}
+}
+
+// A leader of before gives out versions and settlings that are behind what a follower has.
+func TestDeposedPublisherTakesNobodyBack(t *testing.T) {
+	g, stale := newRig(t), newRig(t)
+	for _, rate := range []float64{200, 50, 200} {
+		g.push(rate)
+		stale.push(rate)
+	}
+	p := g.publisher(0, "a")
+	g.must(Entry{Settle: 2})
+	stale.must(Entry{Settle: 1})
+	before := stale.publisher(0, "a")
+	set, _ := g.c.At(2)
+	hash, _ := g.c.hashAt(2)
+	f := g.follower("a", &Kept{State: State{2, hash, set.List()}, Settled: 2})
+	// To version 3 by the one that knows no settling of 2: the ceiling of 2 holds on all the same.
+	if _, err := exchange(t, f, before, time.Second); err != nil || f.InUse().Version != 3 || f.InUse().Settled != 2 || goldRate(t, f.InUse()) != 50 {
+		t.Fatalf("%v; version %d, settled %d, %v", err, f.InUse().Version, f.InUse().Settled, goldRate(t, f.InUse()))
+	}
+	g.push(300)
+	exchange(t, f, p, 2*time.Second)
+	if _, err := exchange(t, f, before, 3*time.Second); err != nil || f.InUse().Version != 4 {
+		t.Fatalf("%v, version %d", err, f.InUse().Version)
+	}
+}
+
+// A publisher that nobody confirms any more gives out nothing, and holds its followers' questions.
+func TestPublisherThatIsNotConfirmedGivesOutNothing(t *testing.T) {
+	g := newRig(t)
+	g.publisher(0, "a")
+	g.push(1)
+	p := NewPublisher(DefaultTiming(), g.c, 0)
+	f := g.follower("a", nil)
+	p.Confirmed(0)
+	for now := time.Duration(0); now <= 6*time.Second; now += time.Second {
+		p.Tick(now)
+	}
+	p.Confirmed(3 * time.Second) // asked long ago
+	q := ask(t, f, 6*time.Second)
+	if r, held, _ := p.Poll(6*time.Second, q); !held {
+		t.Fatalf("%+v is given out", r)
+	}
+	p.Confirmed(6 * time.Second)
+	if a := p.Due(6 * time.Second); len(a) != 1 || a[0].Reply.Difference == nil {
+		t.Fatalf("%+v, want the difference from nothing", a)
+	}
+}
+
+func TestLateAndRepeatedQuestionsCountNothing(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	g.push(1)
+	g.push(2)
+	h1, _ := g.c.hashAt(1)
+	at := func(life, number, version uint64) Poll {
+		q := Poll{Follower: "a", Region: "r", Life: life, Number: number, Version: version, Settled: 0}
+		q.Hash, _ = g.c.hashAt(version)
+		return q
+	}
+	poll := func(now time.Duration, q Poll) error { _, _, err := p.Poll(now, q); return err }
+	if err := poll(0, at(2, 5, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, q := range []Poll{at(2, 5, 2), at(2, 4, 2), at(1, 99, 2)} {
+		if err := poll(time.Millisecond, q); !as[*BadPoll](err) {
+			t.Errorf("life %d, question %d: %v", q.Life, q.Number, err)
+		}
+	}
+	if to := p.settles(); to != 1 {
+		t.Errorf("%d settles by what a late question tells, want 1", to)
+	}
+	// Of the same life a repeated one never counts; an older life does when nobody is heard.
+	if err := poll(time.Minute, at(2, 5, 2)); !as[*BadPoll](err) {
+		t.Error(err)
+	}
+	if err := poll(time.Minute, at(1, 1, 2)); err != nil {
+		t.Error(err)
+	}
+	// One that tells a version it never got: with another hash it blocks settling and gets the whole,
+	// ahead of the log it is told.
+	q := at(3, 1, 2)
+	q.Hash = h1
+	if r, _, err := p.Poll(time.Minute+time.Second, q); err != nil || r.State == nil || p.settles() != 0 {
+		t.Errorf("%+v, %v, settles %d", r, err, p.settles())
+	}
+	if r, _, err := p.Poll(time.Minute+2*time.Second, at(3, 2, 9)); err != nil || !r.empty() || p.settles() != 0 {
+		t.Errorf("%+v, %v, settles %d", r, err, p.settles())
+	}
+	if s := p.Status(time.Minute + 2*time.Second).Followers[0]; s.Standing != IsAhead {
+		t.Errorf("%+v", s)
+	}
+	// Nor does one halt version 0, or any other than the newest.
+	for i, v := range []uint64{0, 1, 9} {
+		bad := at(4, uint64(i+1), 1)
+		bad.Refused = &Halted{Version: v}
+		poll(time.Minute+3*time.Second, bad)
+		for _, e := range p.Tick(time.Minute + 3*time.Second) {
+			if e.Halt != nil {
+				t.Errorf("version %d is halted", v)
+			}
+		}
+	}
+}
+
+func TestFollowersStartByWhatTheyKept(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	for i := range mostPast { // so that nobody comes from nothing by a difference
+		g.push(float64(1000 + i))
+		g.must(Entry{Settle: g.c.Version})
+	}
+	g.push(1)
+	g.must(Entry{Settle: g.c.Version})
+	stale := keptOf(g.c)
+	g.push(2)
+	good := keptOf(g.c)
+	turned := keptOf(g.c)
+	data := append([]byte(nil), turned.Resources[0].Data...)
+	data[len(data)-3] ^= 1
+	turned.Resources = []Resource{{Key: turned.Resources[0].Key, Data: data}}
+	for _, c := range []struct {
+		name    string
+		kept    *Kept
+		version uint64
+		damaged bool
+		want    string
+	}{{"empty", nil, 0, false, "state"}, {"stale", stale, mostPast + 1, false, "difference"}, {"newest", good, mostPast + 2, false, "nothing"}, {"one bit turned", turned, 0, true, "state"}} {
+		f, err := NewFollower(FollowerConfig{Name: "a", Life: 1, Coordinators: 3, Patience: DefaultPatience}, c.kept, 1, 0)
+		if as[*StateDamaged](err) != c.damaged || f.InUse().Version != c.version {
+			t.Errorf("%s: %v, version %d", c.name, err, f.InUse().Version)
+		}
+		p.seats = map[string]*seat{}
+		r, err := exchange(t, f, p, 0)
+		got := "nothing"
+		if r.State != nil {
+			got = "state"
+		} else if r.Difference != nil {
+			got = "difference"
+		}
+		if err != nil || got != c.want || f.InUse().Version != mostPast+2 {
+			t.Errorf("%s: %s, version %d, %v", c.name, got, f.InUse().Version, err)
+		}
+	}
+}
+
+// routes makes so many routes with data of about so many bytes each, and their service.
+func routes(t *testing.T, n, bytes, percent int) []Resource {
+	t.Helper()
+	data, err := Encode(Service{Owner: "o"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := []Resource{{Key: KeyOf(KindService, "s"), Data: data}}
+	for i := range n {
+		data, err := Encode(Route{Service: "s", Prefix: fmt.Sprintf("%0*d", bytes-40, i), Percent: percent})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, Resource{Key: KeyOf(KindRoute, fmt.Sprint("r", i)), Data: data})
+	}
+	return all
+}
+
+func TestSizes(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	big := g.pushOf(routes(t, 2200, 900, 0)...) // 2 MB
+	if err := big.Check(); err != nil {
+		t.Fatal(err)
+	}
+	g.must(big)
+	f := g.follower("a", nil)
+	for now := time.Duration(0); f.InUse().Version != 1; now += 100 * time.Millisecond {
+		if now > 3*time.Second {
+			t.Fatal("2 MB do not come")
+		}
+		if _, due := f.Next(); due {
+			if f.Tick(now) == nil {
+				continue
+			}
+			r, held, err := p.Poll(now, f.poll)
+			if err != nil || held {
+				t.Fatal(err, held)
+			}
+			if err := give(f, now, f.poll.Number, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	// All of them change at once.
+	g.must(g.pushOf(routes(t, 2200, 900, 50)...))
+	if d, err := exchange(t, f, p, 10*time.Second); err != nil || d.Difference == nil || len(d.Difference.Set) != 2200 || f.InUse().Version != 2 {
+		t.Fatal(err, f.InUse().Version)
+	}
+	if f.InUse().Set.Sum() != g.c.Hash {
+		t.Error("what is in force has another hash")
+	}
+	// 100 MB are not taken, neither before the log nor in it.
+	huge := Entry{Push: &Push{Base: 2}}
+	for i := range 6400 {
+		huge.Push.Set = append(huge.Push.Set, Resource{Key: KeyOf(KindLimit, fmt.Sprint(i)), Data: make([]byte, 16<<10)})
+	}
+	if err := huge.Check(); !as[*TooLarge](err) {
+		t.Error(err)
+	}
+	if err := g.apply(huge); !as[*TooLarge](err) || g.c.Version != 2 {
+		t.Error(err, g.c.Version)
+	}
+	// Nor is what comes to more than that by and by.
+	more := routes(t, 1400, 900, 0)[1:]
+	for i := range more {
+		more[i].Key = KeyOf(KindRoute, fmt.Sprint("more", i))
+	}
+	if err := g.apply(g.pushOf(more...)); !as[*TooLarge](err) || g.c.Version != 2 {
+		t.Error(err, g.c.Version)
+	}
+}
+
+// Large replies to many are paced, and who waits keeps its lease.
+func TestCrowdIsPaced(t *testing.T) {
+	g := newRig(t)
+	const n = 96
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("n", i))
+	}
+	p := g.publisher(0, names...)
+	p.timing.Rate, p.timing.Burst = 1<<20, 1<<20
+	g.must(g.pushOf(routes(t, 500, 200, 0)...))
+	size := float64(p.state().size())
+	var all []*Follower
+	for _, name := range names {
+		all = append(all, g.follower(name, nil))
+	}
+	sent := 0
+	for now := time.Duration(0); now < 12*time.Second; now += 20 * time.Millisecond {
+		for _, f := range all {
+			a := f.Tick(now)
+			if a == nil {
+				continue
+			}
+			r, held, err := p.Poll(now, a.Poll)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if held {
+				f.Failed(now, a.Poll.Number, -1)
+				continue
+			}
+			if r.State != nil || r.Difference != nil { // from nothing: the same
+				sent++
+			}
+			if err := give(f, now, a.Poll.Number, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if most := p.timing.Burst + p.timing.Rate*now.Seconds() + size; float64(sent)*size > most {
+			t.Fatalf("%d states of %v bytes by %v, want %v bytes at most", sent, size, now, most)
+		}
+		for _, f := range p.Status(now).Followers {
+			if f.Standing == Silent {
+				t.Fatalf("%s waits, and its lease runs out at %v", f.Name, now)
+			}
+		}
+	}
+	if sent != n {
+		t.Errorf("%d states went out, want one to each of %d", sent, n)
+	}
+}
+
+func TestTwoOperatorsAndRequestsSentTwice(t *testing.T) {
+	g := newRig(t)
+	first, second := g.pushOf(planOf(t, "gold", 1)), g.pushOf(planOf(t, "gold", 2))
+	first.Request, first.By, second.Request, second.By = "q1", "ann", "q2", "bob"
+	g.must(first)
+	var conflict *Conflict
+	if err := g.apply(second); !errors.As(err, &conflict) || conflict.By != "ann" || conflict.Version != 1 {
+		t.Fatal(err)
+	}
+	// Sent again, also by what was kept of the catalog: the same answers, and nothing twice.
+	data, err := json.Marshal(g.c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := NewCatalog()
+	if err := json.Unmarshal(data, again); err != nil {
+		t.Fatal(err)
+	}
+	if err := again.Verify(); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []*Catalog{g.c, again} {
+		if err := c.Apply(g.index+1, first); err != nil || c.Version != 1 {
+			t.Error(err, c.Version)
+		}
+		if err := c.Apply(g.index+2, second); !reflect.DeepEqual(err, error(conflict)) || c.Version != 1 {
+			t.Error(err, c.Version)
+		}
+		if err := c.Apply(g.index+2, first); err != nil || c.Version != 1 { // an entry that was applied
+			t.Error(err)
+		}
+	}
+	g.index += 2
+	wrong := g.pushOf(planOf(t, "gold", 3))
+	wrong.Push.Hash[0] ^= 1
+	if err := g.apply(wrong); !as[*WrongHash](err) {
+		t.Error(err)
+	}
+	if err := g.apply(g.pushOf(planOf(t, "gold", 1))); !as[*NothingChanged](err) {
+		t.Error(err)
+	}
+	if err := g.apply(Entry{Back: &Back{Base: 1, To: 7}}); !as[*NoSuchVersion](err) {
+		t.Error(err)
+	}
+}
+
+// 440 changes within a minute: one difference out to a follower, newer ones merged; the log
+// keeps a bounded past, and where nobody settles it says so.
+func TestManyChangesAreMerged(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	f := g.follower("a", nil)
+	replies, out, due := 0, false, time.Duration(0)
+	var q Poll
+	for i := range 440 {
+		now := time.Duration(i) * time.Minute / 440
+		g.push(float64(i + 1))
+		if !out {
+			if a := f.Tick(now); a != nil {
+				q = a.Poll
+				if _, held, err := p.Poll(now, q); err != nil || held {
+					t.Fatal(err, held)
+				}
+				out, due = true, now+time.Second // the reply is a second on its way
+			}
+			continue
+		}
+		if now >= due {
+			r := p.next(p.seats["a"])
+			if err := give(f, now, q.Number, r); err != nil {
+				t.Fatal(err)
+			}
+			replies, out = replies+1, false
+		}
+	}
+	if replies < 30 || replies > 60 {
+		t.Errorf("%d replies for 440 changes, want about one a second", replies)
+	}
+	if f.InUse().Version < 420 {
+		t.Errorf("version %d", f.InUse().Version)
+	}
+	if n := len(g.c.Past); n != 440 || g.c.Oldest() != 0 {
+		t.Errorf("%d versions are kept while none has settled", n)
+	}
+	var err error
+	for i := 0; err == nil; i++ {
+		err = g.apply(g.pushOf(planOf(t, "gold", 1000+float64(i))))
+	}
+	if !as[*Unsettled](err) || g.c.Version != mostPast {
+		t.Errorf("%v at version %d", err, g.c.Version)
+	}
+	g.must(Entry{Settle: g.c.Version})
+	g.push(1)
+	g.must(Entry{Settle: g.c.Version})
+	if n := len(g.c.Past); n != mostPast {
+		t.Errorf("%d versions are kept, want %d", n, mostPast)
+	}
+	// Beyond the past a follower gets the whole.
+	if r, _, err := p.Poll(2*time.Minute, Poll{Follower: "a", Life: 2, Number: 1, Version: g.c.Oldest() - 1}); err != nil || r.State == nil {
+		t.Errorf("%+v, %v", r, err)
+	}
+}
+
+func TestRefusedVersionIsHaltedForAllThatHaveNotBegun(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "begun", "refuses", "other", "empty")
+	g.push(100)
+	begun, refuses, other := g.follower("begun", nil), g.follower("refuses", nil), g.follower("other", nil)
+	refuses.cfg.Check = func(s Set) error {
+		if plan, err := s[KeyOf(KindPlan, "gold")].Plan(); err == nil && plan.CeilingRate == 666 {
+			return &Refused{Key: KeyOf(KindPlan, "gold"), Why: "not here"}
+		}
+		return nil
+	}
+	for _, f := range []*Follower{begun, refuses, other} {
+		exchange(t, f, p, 0)
+	}
+	bad := planOf(t, "gold", 666)
+	bad.Line = 17
+	g.must(g.pushOf(bad))
+	exchange(t, begun, p, time.Second)
+	var halted *Halted
+	if _, err := exchange(t, refuses, p, time.Second); !errors.As(err, &halted) || halted.Refused.Line != 17 || refuses.InUse().Version != 1 {
+		t.Fatal(err)
+	}
+	now := 1200 * time.Millisecond
+	exchange(t, refuses, p, now) // it tells so
+	for _, e := range p.Tick(now) {
+		if e.Settle > 0 {
+			t.Errorf("%d settles", e.Settle)
+		}
+		g.must(e)
+	}
+	if g.c.Halt == nil || g.c.Halt.Refused.Line != 17 || g.c.Halt.Follower != "refuses" || !strings.Contains(g.c.Halt.Error(), "line 17") {
+		t.Fatalf("%+v", g.c.Halt)
+	}
+	exchange(t, other, p, now)
+	empty := g.follower("empty", nil) // restarted with nothing
+	exchange(t, empty, p, now)
+	if begun.InUse().Version != 2 || other.InUse().Version != 1 || empty.InUse().Version != 1 {
+		t.Errorf("begun %d, other %d, empty %d", begun.InUse().Version, other.InUse().Version, empty.InUse().Version)
+	}
+	for _, f := range []*Follower{begun, refuses, other, empty} {
+		exchange(t, f, p, 1500*time.Millisecond)
+	}
+	// While it is halted nothing of it settles, however it is asked for.
+	g.must(Entry{Settle: 2})
+	if g.c.Settled != 0 || p.settles() != 1 {
+		t.Errorf("settled %d, to settle %d", g.c.Settled, p.settles())
+	}
+	// Back is a version forward, and all are at it.
+	g.must(Entry{By: "ann", Back: &Back{Base: 2, To: 1}})
+	if g.c.Version != 3 || g.c.Halt != nil {
+		t.Fatalf("version %d, halt %v", g.c.Version, g.c.Halt)
+	}
+	for _, f := range []*Follower{begun, refuses, other, empty} {
+		if _, err := exchange(t, f, p, 2*time.Second); err != nil || f.InUse().Version != 3 || goldRate(t, f.InUse()) != 100 {
+			t.Errorf("%s: %v, version %d", f.cfg.Name, err, f.InUse().Version)
+		}
+	}
+	if refuses.Refused() != nil {
+		t.Errorf("%+v is still told", refuses.Refused())
+	}
+}
+
+// A version that had settled is halted: whoever comes now gets the one before, and so that one
+// counts again.
+func TestHaltOfASettledVersion(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a", "b")
+	g.push(200)
+	g.push(100)
+	g.must(Entry{Settle: 2})
+	g.must(Entry{Halt: &Halted{Version: 2, Follower: "b"}})
+	for now := time.Duration(0); now <= p.timing.Lease; now += time.Second {
+		p.Tick(now)
+	}
+	if g.c.Settled != 1 || p.settles() != 1 {
+		t.Errorf("settled %d, to settle %d, want 1: a newcomer gets version 1", g.c.Settled, p.settles())
+	}
+	if err := g.c.Verify(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestSettleWaitsForAllThatLive(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a", "b")
+	a, b := g.follower("a", nil), g.follower("b", nil)
+	g.push(100)
+	if exchange(t, a, p, 0); p.settles() != 0 {
+		t.Error("it settles before all that the log knows were heard")
+	}
+	exchange(t, b, p, 0)
+	exchange(t, a, p, time.Second)
+	if p.settles() != 0 {
+		t.Error("it settles by a version that was sent, and not told to be in force")
+	}
+	exchange(t, b, p, time.Second)
+	if p.settles() != 1 {
+		t.Errorf("%d settles", p.settles())
+	}
+	// One is silent: it holds settling up until its lease has run out.
+	g.must(Entry{Settle: 1})
+	g.push(200)
+	exchange(t, a, p, 2*time.Second)
+	exchange(t, a, p, 3*time.Second)
+	if goldRate(t, a.InUse()) != 100 {
+		t.Error("the raise holds before it has settled")
+	}
+	for now := 4 * time.Second; now < 8*time.Second; now += 500 * time.Millisecond {
+		exchange(t, a, p, now)
+		if want := uint64(1); now < 5*time.Second && p.settles() != want {
+			t.Fatalf("%d settles at %v", p.settles(), now)
+		}
+	}
+	if p.settles() != 2 {
+		t.Fatalf("%d settles, want 2: the silent one's lease is over", p.settles())
+	}
+	g.must(Entry{Settle: 2})
+	if exchange(t, a, p, 8*time.Second); goldRate(t, a.InUse()) != 200 {
+		t.Error("the raise does not hold")
+	}
+	// A new leader knows none of that, and waits for a lease.
+	g.push(300)
+	next := NewPublisher(p.timing, g.c, 10*time.Second)
+	exchange(t, a, next, 10*time.Second)
+	exchange(t, a, next, 11*time.Second)
+	if next.settles() != 0 {
+		t.Errorf("%d settles, and b was not heard", next.settles())
+	}
+	next.Tick(12 * time.Second)
+	exchange(t, a, next, 13900*time.Millisecond)
+	if next.settles() != 0 {
+		t.Errorf("%d settles, and b was not heard", next.settles())
+	}
+	exchange(t, a, next, 14*time.Second)
+	if next.settles() != 3 {
+		t.Errorf("%d settles, want 3", next.settles())
+	}
+	// One that was paused for long has heard nobody, and that says nothing of them.
+	g.push(400)
+	next.Tick(30 * time.Second)
+	if next.settles() != 0 {
+		t.Errorf("%d settles after a pause", next.settles())
+	}
+}
+
+// What nobody knows of in the log gets nothing yet: a new leader would not wait for it.
+func TestFollowerGetsNothingBeforeItIsInTheLog(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0)
+	g.push(1)
+	f := g.follower("a", nil)
+	if _, held, _ := p.Poll(0, ask(t, f, 0)); !held {
+		t.Fatal("it is answered")
+	}
+	for _, e := range p.Tick(0) {
+		g.must(e)
+	}
+	if a := p.Due(0); len(a) != 1 || a[0].Reply.Difference == nil {
+		t.Errorf("%+v", a)
+	}
+}
+
+// What can't be kept is in force all the same, is told, and is tried again.
+func TestDiskThatCannotKeep(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	g.push(1)
+	f := g.follower("a", nil)
+	full := errors.New("no space")
+	q := ask(t, f, 0)
+	r, _, _ := p.Poll(0, q)
+	if save, err := f.Replied(0, q.Number, r); save == nil || err != nil {
+		t.Fatal(err)
+	}
+	if u := f.Saved(0, full); u == nil || u.Version != 1 {
+		t.Fatal("it is not to be used")
+	}
+	f.Using(0)
+	for now := time.Second; now < 3*time.Second; now += time.Second {
+		q := ask(t, f, now)
+		if q.Disk != "no space" {
+			t.Errorf("%q is told", q.Disk)
+		}
+		p.Poll(now, q)
+		if s := p.Status(now).Followers[0]; s.Why != "no space" || s.Standing != InForce {
+			t.Errorf("%+v", s)
+		}
+		save, err := f.Replied(now, q.Number, Reply{})
+		if err != nil || (save != nil) != (now >= keepAgain) {
+			t.Fatalf("%v: %+v, %v", now, save, err)
+		}
+		if save != nil {
+			if !save.Whole || len(save.Set) != 1 || save.Version != 1 {
+				t.Errorf("%+v, want the whole", save)
+			}
+			f.Saved(now, nil)
+			f.Using(now)
+		}
+	}
+	if q := ask(t, f, 4*time.Second); q.Disk != "" {
+		t.Errorf("%q is told", q.Disk)
+	}
+}
+
+func TestCeilingsInUse(t *testing.T) {
+	for _, c := range []struct{ old, own, want float64 }{{100, 200, 100}, {200, 100, 100}, {0, 100, 100}, {100, 0, 100}, {0, 0, 0}} {
+		k := KeyOf(KindPlan, "gold")
+		u := InUse{Set: Set{k: planOf(t, "gold", c.own)}, Before: map[Key][]byte{k: planOf(t, "gold", c.old).Data}}
+		if c.old == 0 || c.own == 0 { // burst 0 goes with rate 0
+			u.Set[k], u.Before[k] = ceilingOf(t, c.own), ceilingOf(t, c.old).Data
+		}
+		if got := goldRate(t, &u); got != c.want {
+			t.Errorf("of %v and then %v: %v, want %v", c.old, c.own, got, c.want)
+		}
+	}
+}
+
+func ceilingOf(t *testing.T, rate float64) Resource {
+	t.Helper()
+	data, err := Encode(Plan{CeilingRate: rate, CeilingBurst: rate})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Resource{Key: KeyOf(KindPlan, "gold"), Data: data}
+}
+
+// What was kept of a catalog, with one thing changed, is found out.
+func TestCatalogThatWasDamaged(t *testing.T) {
+	make := func() *Catalog {
+		g := newRig(t)
+		g.push(1)
+		g.push(2)
+		g.push(3)
+		return g.c
+	}
+	for name, damage := range map[string]func(*Catalog){
+		"resource": func(c *Catalog) { c.Resources[0].Data = planOf(t, "gold", 8).Data },
+		"hash":     func(c *Catalog) { c.Hash[3] ^= 1 },
+		"past": func(c *Catalog) {
+			c.Past[1].Before[0].Data = planOf(t, "gold", 8).Data
+			c.Past[0].Before[0].Data = c.Past[1].Before[0].Data
+		},
+		"hole":      func(c *Catalog) { c.Past = append(c.Past[:1], c.Past[2:]...) },
+		"no past":   func(c *Catalog) { c.Past = nil },
+		"settled":   func(c *Catalog) { c.Settled = 4 },
+		"two alike": func(c *Catalog) { c.Resources = append(c.Resources, c.Resources[0]) },
+	} {
+		c := make()
+		if err := c.Verify(); err != nil {
+			t.Fatal(err)
+		}
+		damage(c)
+		c.set = nil
+		if c.Verify() == nil {
+			t.Errorf("%s: it passes", name)
+		}
+	}
+}
+
+// The same entries make the same catalog, to the byte: also where one is refused for a plan
+// with several faults.
+func TestOutcomesAreTheSameEverywhere(t *testing.T) {
+	data, err := json.Marshal(Plan{Rate: -1, Burst: -1, Price: -1, OverCost: -1, CeilingRate: -1, CeilingBurst: -1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first string
+	for range 20 {
+		g := newRig(t)
+		e := g.pushOf(Resource{Key: KeyOf(KindPlan, "gold"), Data: data})
+		e.Request = "q"
+		if err := g.apply(e); !as[*Refused](err) {
+			t.Fatal(err)
+		}
+		b, err := json.Marshal(g.c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first == "" {
+			first = string(b)
+		} else if first != string(b) {
+			t.Fatalf("%s, and then %s", first, b)
+		}
+	}
+}
+
+func TestFaultsSayWhatToDo(t *testing.T) {
+	for _, f := range Faults() {
+		if f.Error() == "" || f.Remedy() == "" {
+			t.Errorf("%T: %q, %q", f, f.Error(), f.Remedy())
+		}
+	}
+	// An outcome gives each back as it was.
+	for _, f := range Faults() {
+		var o Outcome
+		o.note(f)
+		if got := o.error(); !reflect.DeepEqual(got, error(f)) {
+			t.Errorf("%#v comes back as %#v", f, got)
+		}
+	}
+}
--- /dev/null
+++ b/distribution/catalog.go
@@ -0,0 +1,414 @@
+package distribution
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Bounds on what the log keeps.
+const (
+	MostFollowers  = 10_000
+	mostPast       = 512     // versions that can be gone back to, and that differences can begin from
+	mostPastBytes  = 1 << 20 // of what they replaced, beyond the newest one
+	mostPastWaits  = 4 << 20 // and while they have not settled
+	mostRequests   = 256     // operators' requests remembered, so that one sent again counts once
+	mostFollowName = 64
+)
+
+// Old is what a resource was before a change.
+type Old struct {
+	Key  Key             `json:"key"`
+	Data json.RawMessage `json:"data,omitempty"` // nil: it was not there
+	Line int             `json:"line,omitempty"`
+}
+
+// Past is one version and what it replaced.
+type Past struct {
+	Version uint64 `json:"version"`
+	Hash    Hash   `json:"hash"`
+	Prior   Hash   `json:"prior"` // of the version before
+	By      string `json:"by,omitempty"`
+	Before  []Old  `json:"before"` // in the order of their keys
+}
+
+func (p Past) size() (n int) {
+	for _, o := range p.Before {
+		n += len(o.Key) + len(o.Data) + 64
+	}
+	return n
+}
+
+// Push is a change that an operator wants.
+type Push struct {
+	Base   uint64     `json:"base"` // the version that it begins from (compare and set)
+	Set    []Resource `json:"set,omitempty"`
+	Delete []Key      `json:"delete,omitempty"`
+	Hash   Hash       `json:"hash"` // of what comes out
+}
+
+// Back wants an earlier version's resources in force again, as a new version.
+type Back struct {
+	Base uint64 `json:"base"`
+	To   uint64 `json:"to"`
+}
+
+// Join takes followers into the log, so that whoever leads next knows them.
+type Join struct {
+	Followers map[string]string `json:"followers"` // regions by name
+}
+
+// Entry is one entry of the log. One of its fields but Request and By is set.
+type Entry struct {
+	Request string  `json:"request,omitempty"` // an operator's, so that it counts once
+	By      string  `json:"by,omitempty"`
+	Push    *Push   `json:"push,omitempty"`
+	Back    *Back   `json:"back,omitempty"`
+	Halt    *Halted `json:"halt,omitempty"`
+	Settle  uint64  `json:"settle,omitempty"`
+	Join    *Join   `json:"join,omitempty"`
+	Forget  string  `json:"forget,omitempty"`
+}
+
+// Check tells why an operator's entry is not to go into the log at all: it holds more than
+// any version may, as a *TooLarge, or names that are none, as a *BadRequest. What a log takes
+// stays in it for long, and is sent to all coordinators.
+func (e Entry) Check() error {
+	if len(e.Request) > mostName || len(e.By) > mostName || len(e.Forget) > mostFollowName {
+		return &BadRequest{fmt.Sprintf("a request's number and its operator have %d characters at most", mostName)}
+	}
+	if e.Push != nil {
+		return e.Push.check()
+	}
+	return nil
+}
+
+func (p *Push) check() error {
+	if n, size := len(p.Set), sizeOf(p.Set); n > MostResources || size > MostState {
+		return &TooLarge{n, size}
+	}
+	if len(p.Delete) > MostResources {
+		return &BadRequest{fmt.Sprintf("%d resources are to go, %d at most", len(p.Delete), MostResources)}
+	}
+	for _, k := range p.Delete {
+		if len(k) > MostResource {
+			return &BadRequest{"a key is too long"}
+		}
+	}
+	return nil
+}
+
+// Outcome is what came of an operator's request.
+type Outcome struct {
+	ID      string          `json:"id"`
+	Version uint64          `json:"version"` // that it made
+	Kind    string          `json:"kind,omitempty"`
+	Err     json.RawMessage `json:"err,omitempty"`
+}
+
+// Catalog is what the log says of configuration. The same entries make the same
+// catalog everywhere.
+type Catalog struct {
+	Index     uint64            `json:"index"` // of the last entry applied
+	Version   uint64            `json:"version"`
+	Hash      Hash              `json:"hash"`
+	By        string            `json:"by,omitempty"` // who made the newest version
+	Resources []Resource        `json:"resources"`    // in the order of their keys
+	Past      []Past            `json:"past"`         // oldest first, up to the newest version
+	Settled   uint64            `json:"settled"`      // nobody that is heard decides by an older version
+	Halt      *Halted           `json:"halt,omitempty"`
+	Followers map[string]string `json:"followers"` // regions by name
+	Requests  []Outcome         `json:"requests"`  // the last ones, oldest first
+
+	set Set // of Resources
+}
+
+// NewCatalog is the catalog of an empty log: version 0, with nothing in it.
+func NewCatalog() *Catalog {
+	return &Catalog{Hash: Set{}.Sum(), Followers: map[string]string{}}
+}
+
+// Set is all that the newest version configures. It must not be changed.
+func (c *Catalog) Set() Set {
+	if c.set == nil {
+		c.set = make(Set, len(c.Resources))
+		for _, r := range c.Resources {
+			c.set[r.Key] = r
+		}
+	}
+	return c.set
+}
+
+// Oldest is the oldest version that is kept.
+func (c *Catalog) Oldest() uint64 {
+	if len(c.Past) == 0 {
+		return c.Version
+	}
+	return c.Past[0].Version - 1
+}
+
+// hashAt is the hash of a version; false if that is not kept.
+func (c *Catalog) hashAt(v uint64) (Hash, bool) {
+	switch {
+	case v == c.Version:
+		return c.Hash, true
+	case v > c.Version || v < c.Oldest():
+		return Hash{}, false
+	}
+	return c.Past[v-c.Oldest()].Prior, true
+}
+
+// since is what the resources that have changed after a version were in it, in the
+// order of their keys, as far as versions up to another one changed them.
+func (c *Catalog) since(v, upTo uint64) (olds []Old) {
+	seen := map[Key]bool{}
+	for _, p := range c.Past {
+		if p.Version <= v || p.Version > upTo {
+			continue
+		}
+		for _, o := range p.Before {
+			if !seen[o.Key] { // the first change after v is the one that replaced v's
+				seen[o.Key] = true
+				olds = append(olds, o)
+			}
+		}
+	}
+	slices.SortFunc(olds, func(a, b Old) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return olds
+}
+
+// At is the set of a version that is kept.
+func (c *Catalog) At(v uint64) (Set, error) {
+	if v > c.Version || v < c.Oldest() {
+		return nil, &NoSuchVersion{v, c.Oldest(), c.Version}
+	}
+	if v == c.Version {
+		return c.Set(), nil
+	}
+	s := maps.Clone(c.Set())
+	for _, o := range c.since(v, c.Version) {
+		if o.Data == nil {
+			delete(s, o.Key)
+		} else {
+			s[o.Key] = Resource{o.Key, o.Data, o.Line}
+		}
+	}
+	return s, nil
+}
+
+// difference is what leads from one kept version to a later one.
+func (c *Catalog) difference(from, to uint64) (set []Resource, without []Key, err error) {
+	target, err := c.At(to)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, o := range c.since(from, to) {
+		if r, there := target[o.Key]; !there {
+			without = append(without, o.Key)
+		} else {
+			set = append(set, r)
+		}
+	}
+	return set, without, nil
+}
+
+// Apply applies one entry with its place in the log. The error is why it changed
+// nothing.
+func (c *Catalog) Apply(index uint64, e Entry) error {
+	if index <= c.Index {
+		return nil
+	}
+	c.Index = index
+	if e.Request == "" {
+		return c.apply(e)
+	}
+	for _, done := range c.Requests {
+		if done.ID == e.Request { // sent again: it counts once, and gets the same answer
+			return done.error()
+		}
+	}
+	err := c.apply(e)
+	done := Outcome{ID: e.Request, Version: c.Version}
+	done.note(err)
+	c.Requests = append(c.Requests, done)
+	if len(c.Requests) > mostRequests {
+		c.Requests = slices.Delete(c.Requests, 0, len(c.Requests)-mostRequests)
+	}
+	return err
+}
+
+// note keeps an error, so that it can be given once more.
+func (o *Outcome) note(err error) {
+	if err == nil {
+		return
+	}
+	for _, f := range Faults() {
+		if o.Kind = fmt.Sprintf("%T", f); o.Kind == fmt.Sprintf("%T", err) {
+			if b, failed := json.Marshal(err); failed == nil {
+				o.Err = b
+			}
+			return
+		}
+	}
+}
+
+func (o *Outcome) error() error {
+	for _, f := range Faults() {
+		if o.Kind != "" && o.Kind == fmt.Sprintf("%T", f) {
+			if json.Unmarshal(o.Err, f) == nil {
+				return f
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Catalog) apply(e Entry) error {
+	switch {
+	case e.Push != nil:
+		return c.push(e.By, *e.Push)
+	case e.Back != nil:
+		return c.back(e.By, *e.Back)
+	case e.Halt != nil:
+		if e.Halt.Version == c.Version && c.Version > 0 && c.Halt == nil {
+			c.Halt = e.Halt
+			// Whoever comes from now on decides by the one before, and ceilings are held so.
+			c.Settled = min(c.Settled, c.Version-1)
+		}
+	case e.Settle > 0:
+		if e.Settle > c.Settled && e.Settle <= c.Version && (c.Halt == nil || e.Settle < c.Halt.Version) {
+			c.Settled = e.Settle
+			c.trim()
+		}
+	case e.Join != nil:
+		for _, name := range slices.Sorted(maps.Keys(e.Join.Followers)) {
+			if _, known := c.Followers[name]; known || len(c.Followers) < MostFollowers {
+				c.Followers[name] = e.Join.Followers[name]
+			}
+		}
+	case e.Forget != "":
+		if _, known := c.Followers[e.Forget]; !known {
+			return &UnknownFollower{e.Forget}
+		}
+		delete(c.Followers, e.Forget)
+	}
+	return nil
+}
+
+func (c *Catalog) back(by string, b Back) error {
+	if b.Base != c.Version {
+		return &Conflict{b.Base, c.Version, c.By}
+	}
+	target, err := c.At(b.To)
+	if err != nil {
+		return err
+	}
+	p := Push{Base: b.Base, Hash: target.Sum()}
+	for _, o := range c.since(b.To, c.Version) {
+		if r, there := target[o.Key]; there {
+			p.Set = append(p.Set, r)
+		} else {
+			p.Delete = append(p.Delete, o.Key)
+		}
+	}
+	return c.push(by, p)
+}
+
+func (c *Catalog) push(by string, p Push) error {
+	if err := p.check(); err != nil {
+		return err
+	}
+	if p.Base != c.Version {
+		return &Conflict{p.Base, c.Version, c.By}
+	}
+	if waits := int(c.Version - c.Settled); waits >= mostPast || waits > 0 && c.pastBytes() > mostPastWaits {
+		return &Unsettled{waits}
+	}
+	before, old := c.Set(), Past{Version: c.Version + 1, Prior: c.Hash, By: by}
+	next := before.with(p.Set, p.Delete)
+	if err := next.Check(); err != nil {
+		return err
+	}
+	if old.Hash = next.Sum(); old.Hash != p.Hash {
+		return &WrongHash{old.Version, old.Hash, p.Hash}
+	}
+	if old.Hash == c.Hash {
+		return &NothingChanged{c.Version}
+	}
+	touched := map[Key]bool{}
+	for _, r := range p.Set {
+		touched[r.Key] = true
+	}
+	for _, k := range p.Delete {
+		touched[k] = true
+	}
+	for _, k := range slices.Sorted(maps.Keys(touched)) {
+		o := Old{Key: k}
+		if r, there := before[k]; there {
+			o.Data, o.Line = r.Data, r.Line
+		}
+		if string(o.Data) != string(next[k].Data) {
+			old.Before = append(old.Before, o)
+		}
+	}
+	c.Version, c.Hash, c.By, c.Halt = old.Version, old.Hash, by, nil
+	c.set, c.Resources = next, next.List()
+	c.Past = append(c.Past, old)
+	c.trim()
+	return nil
+}
+
+func (c *Catalog) pastBytes() (n int) {
+	for _, p := range c.Past {
+		n += p.size()
+	}
+	return n
+}
+
+// trim drops the oldest versions beyond the bounds, but none after the settled one:
+// what was before those must be known while somebody may decide by it. The newest
+// stays in any case, as a way back.
+func (c *Catalog) trim() {
+	bytes := c.pastBytes()
+	for len(c.Past) > 1 && c.Past[0].Version <= c.Settled && (len(c.Past) > mostPast || bytes > mostPastBytes) {
+		bytes -= c.Past[0].size()
+		c.Past = slices.Delete(c.Past, 0, 1)
+	}
+}
+
+// Verify tells whether a catalog that was kept is whole.
+func (c *Catalog) Verify() error {
+	c.set = nil // it may be from before Resources were read
+	if c.Followers == nil {
+		c.Followers = map[string]string{}
+	}
+	if sum := c.Set().Sum(); sum != c.Hash || len(c.Set()) != len(c.Resources) {
+		return &WrongHash{c.Version, sum, c.Hash}
+	}
+	n := uint64(len(c.Past))
+	if n > c.Version || n == 0 && c.Version > 0 || c.Settled > c.Version {
+		return errors.New("distribution: the versions before are not those of the newest")
+	}
+	for i, p := range c.Past {
+		if p.Version != c.Version-n+1+uint64(i) || i > 0 && p.Prior != c.Past[i-1].Hash || p.Version == c.Version && p.Hash != c.Hash {
+			return errors.New("distribution: the versions before are not those of the newest")
+		}
+	}
+	if n > 0 {
+		oldest, err := c.At(c.Oldest())
+		if err != nil {
+			return err
+		}
+		if sum := oldest.Sum(); sum != c.Past[0].Prior {
+			return &WrongHash{c.Oldest(), sum, c.Past[0].Prior}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/distribution/distribution_test.go
@@ -0,0 +1,93 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+)
+
+func planOf(t *testing.T, name string, rate float64) Resource {
+	t.Helper()
+	data, err := Encode(Plan{Rate: 10, Burst: 10, Price: 1, CeilingRate: rate, CeilingBurst: rate})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Resource{Key: KeyOf(KindPlan, name), Data: data}
+}
+
+// A version goes to a follower as a difference, and its raised ceiling holds once all
+// that are heard have it.
+func TestVersionGetsInForceAndSettles(t *testing.T) {
+	c := NewCatalog()
+	p := NewPublisher(DefaultTiming(), c, 0)
+	f, err := NewFollower(FollowerConfig{Name: "n1", Life: 1, Coordinators: 3, Patience: DefaultPatience}, nil, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := uint64(0)
+	put := func(e Entry) {
+		t.Helper()
+		index++
+		if err := c.Apply(index, e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	push := func(rate float64) {
+		t.Helper()
+		r := planOf(t, "gold", rate)
+		put(Entry{Push: &Push{Base: c.Version, Set: []Resource{r}, Hash: c.Set().with([]Resource{r}, nil).Sum()}})
+	}
+	run := func(from, to time.Duration) {
+		t.Helper()
+		for now := from; now < to; now += 10 * time.Millisecond {
+			p.Confirmed(now) // as a majority does
+			take := func(n uint64, r Reply) {
+				save, err := f.Replied(now, n, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if save != nil {
+					f.Saved(now, nil)
+					f.Using(now)
+				}
+			}
+			if ask := f.Tick(now); ask != nil {
+				if r, held, err := p.Poll(now, ask.Poll); err != nil {
+					t.Fatal(err)
+				} else if !held {
+					take(ask.Poll.Number, r)
+				}
+			}
+			for _, a := range p.Due(now) {
+				take(a.Number, a.Reply)
+			}
+			for _, e := range p.Tick(now) {
+				put(e)
+			}
+		}
+	}
+	ceiling := func() float64 {
+		plan, err := f.InUse().Plan(KeyOf(KindPlan, "gold"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return plan.CeilingRate
+	}
+	push(100)
+	run(0, time.Second)
+	if f.InUse().Version != 1 || c.Settled != 1 || ceiling() != 100 {
+		t.Fatalf("version %d, settled %d, ceiling %v", f.InUse().Version, c.Settled, ceiling())
+	}
+	// Another one stays behind: the raise does not hold before its lease has run out.
+	if _, held, err := p.Poll(time.Second, Poll{Follower: "n2", Life: 1, Number: 1, Version: 1, Hash: c.Hash, Settled: 1}); err != nil || !held {
+		t.Fatal(held, err)
+	}
+	push(200)
+	run(time.Second, 2*time.Second)
+	if f.InUse().Version != 2 || c.Settled != 1 || ceiling() != 100 {
+		t.Fatalf("version %d, settled %d, ceiling %v", f.InUse().Version, c.Settled, ceiling())
+	}
+	run(2*time.Second, 7*time.Second)
+	if c.Settled != 2 || ceiling() != 200 {
+		t.Fatalf("settled %d, ceiling %v; %+v", c.Settled, ceiling(), p.Status(7*time.Second))
+	}
+}
--- /dev/null
+++ b/distribution/follower.go
@@ -0,0 +1,358 @@
+package distribution
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// FollowerConfig is what a follower goes by.
+type FollowerConfig struct {
+	Name         string
+	Region       string
+	Life         uint64        // greater at each start, such as the system's time in nanoseconds
+	Coordinators int           // how many there are to ask
+	Patience     time.Duration // with one question: more than the publisher holds it
+	// Check tells why a whole set can't be used here, as a *Refused where it is for one
+	// resource. It has no effects. Set.Check has found nothing by then.
+	Check func(Set) error
+}
+
+// The waits of a follower.
+const (
+	pollGap    = 50 * time.Millisecond  // between the beginnings of two questions at least
+	retryLeast = 100 * time.Millisecond // after a failure
+	retryMost  = 800 * time.Millisecond
+	waitMost   = time.Second     // for a whole state, before it is asked for again: the lease has to stay on
+	keepAgain  = 2 * time.Second // between two tries to keep what could not be kept
+)
+
+// DefaultPatience goes with the Hold of [DefaultTiming].
+const DefaultPatience = 1800 * time.Millisecond
+
+// Kept is what a follower keeps on its disk, all or nothing.
+type Kept struct {
+	State
+	Settled uint64 `json:"settled"`
+	Before  []Old  `json:"before,omitempty"`
+}
+
+// Save is what is to be kept in place of what was before, whole or not at all.
+type Save struct {
+	Version uint64
+	Hash    Hash
+	Settled uint64
+	Before  []Old
+	Set     []Resource // that have changed
+	Delete  []Key      // that are gone
+	Whole   bool       // nothing of before stays; Set is all
+}
+
+// InUse is what an ingress decides by.
+type InUse struct {
+	Version uint64
+	Hash    Hash
+	Set     Set            // not to be changed
+	Before  map[Key][]byte // data of plans that some ingress may still decide by
+	Settled uint64
+}
+
+// Plan is a plan as it holds now: its ceiling is the lower one of its own and of the one that
+// others may still decide by, so that all together keep within the higher of both from the
+// first moment on, and within the new one from when all have it.
+func (u *InUse) Plan(k Key) (Plan, error) {
+	p, err := u.Set[k].Plan()
+	if err != nil {
+		return p, err
+	}
+	if data, there := u.Before[k]; there {
+		old, err := (Resource{Key: k, Data: data}).Plan()
+		if err != nil {
+			return p, err
+		}
+		if old.CeilingRate > 0 {
+			if p.CeilingRate <= 0 {
+				p.CeilingRate, p.CeilingBurst, p.CeilingTolerance = old.CeilingRate, old.CeilingBurst, old.CeilingTolerance
+			} else {
+				p.CeilingRate = min(p.CeilingRate, old.CeilingRate)
+				p.CeilingBurst = min(p.CeilingBurst, old.CeilingBurst)
+				p.CeilingTolerance = min(p.CeilingTolerance, old.CeilingTolerance)
+			}
+		}
+	}
+	return p, nil
+}
+
+// Ask is a question to one of the coordinators.
+type Ask struct {
+	Coordinator int
+	Poll        Poll
+}
+
+// Follower is the end of distribution in one ingress. A question is out, or it waits for the
+// next, or what came is being kept (Save, then Saved) and put in force (InUse, then Using):
+// one thing after the other. What is kept comes before what is in force, so that a process
+// that is killed at any moment begins again with no older version than it decided by.
+type Follower struct {
+	cfg   FollowerConfig
+	rng   *rand.Rand
+	now   time.Duration
+	use   InUse // in force
+	next  *InUse
+	whole bool // ours can't be built on
+	poll  Poll // the last one
+
+	out      bool // poll is out
+	deadline time.Duration
+	at       int           // coordinator that is asked
+	fails    int           // in a row
+	due      time.Duration // of the next question
+	heard    time.Duration // the last reply
+	disk     string        // why the last version could not be kept
+	tried    time.Duration // when that was tried last
+	refused  *Halted
+}
+
+// NewFollower starts a follower by what it kept; nil for nothing. The error tells that it
+// can't be used: the follower works all the same, from version 0.
+func NewFollower(cfg FollowerConfig, kept *Kept, seed uint64, now time.Duration) (*Follower, error) {
+	f := &Follower{cfg: cfg, rng: rand.New(rand.NewPCG(seed, cfg.Life)), now: now, heard: now, due: now}
+	f.use = InUse{Set: Set{}, Hash: Set{}.Sum()}
+	f.at = f.rng.IntN(max(1, cfg.Coordinators))
+	if kept == nil || kept.Version == 0 {
+		return f, nil
+	}
+	set := Set{}.with(kept.Resources, nil)
+	if sum := set.Sum(); sum != kept.Hash {
+		return f, &StateDamaged{(&WrongHash{kept.Version, sum, kept.Hash}).Error()}
+	}
+	if err := f.check(set); err != nil {
+		return f, &StateDamaged{err.Error()}
+	}
+	f.use = inUse(kept.Version, kept.Hash, set, kept.Settled, kept.Before)
+	return f, nil
+}
+
+func inUse(version uint64, hash Hash, set Set, settled uint64, before []Old) InUse {
+	u := InUse{Version: version, Hash: hash, Set: set, Settled: settled, Before: map[Key][]byte{}}
+	for _, o := range before {
+		u.Before[o.Key] = o.Data
+	}
+	return u
+}
+
+// before is Before as it is kept, in the order of the keys.
+func (u *InUse) before() (list []Old) {
+	for _, k := range slices.Sorted(maps.Keys(u.Before)) {
+		list = append(list, Old{Key: k, Data: u.Before[k]})
+	}
+	return list
+}
+
+func (f *Follower) check(set Set) error {
+	if err := set.Check(); err != nil {
+		return err
+	}
+	if f.cfg.Check != nil {
+		return f.cfg.Check(set)
+	}
+	return nil
+}
+
+// InUse is what is in force here.
+func (f *Follower) InUse() *InUse { return &f.use }
+
+// Heard tells when a coordinator answered last.
+func (f *Follower) Heard() time.Duration { return f.heard }
+
+// Refused tells the last version that could not be used, if none was in force since; or nil.
+func (f *Follower) Refused() *Halted { return f.refused }
+
+// Next tells when Tick has something to do; false while a reply is being kept or put in force.
+func (f *Follower) Next() (at time.Duration, any bool) {
+	switch {
+	case f.out:
+		return f.deadline, true
+	case f.next != nil:
+		return 0, false
+	}
+	return f.due, true
+}
+
+// Tick takes the time. It returns the question to ask, if one is due. One that is out longer
+// than the patience with it is given up: what comes of it later counts no more.
+func (f *Follower) Tick(now time.Duration) *Ask {
+	f.now = max(f.now, now)
+	if f.out && f.now >= f.deadline {
+		f.Failed(now, f.poll.Number, -1)
+	}
+	if f.out || f.next != nil || f.now < f.due {
+		return nil
+	}
+	f.poll = Poll{Follower: f.cfg.Name, Region: f.cfg.Region, Life: f.cfg.Life, Number: f.poll.Number + 1, Version: f.use.Version, Hash: f.use.Hash,
+		Settled: f.use.Settled, Whole: f.whole, Refused: f.refused, Disk: f.disk}
+	f.out, f.deadline = true, f.now+f.cfg.Patience
+	f.due = f.now + pollGap
+	return &Ask{f.at, f.poll}
+}
+
+// Failed tells that a question has no answer. leader is the place of the coordinator to ask
+// instead, where the one that was asked knows it, and else below 0.
+func (f *Follower) Failed(now time.Duration, number uint64, leader int) {
+	f.now = max(f.now, now)
+	if !f.out || number != f.poll.Number {
+		return
+	}
+	f.out = false
+	wait := min(retryMost, retryLeast<<min(f.fails, 10))
+	if leader >= 0 && leader < f.cfg.Coordinators && leader != f.at {
+		f.at, wait = leader, retryLeast
+	} else {
+		f.at = (f.at + 1) % max(1, f.cfg.Coordinators)
+	}
+	f.fails++
+	f.due = max(f.due, f.now+wait/2+time.Duration(f.rng.Int64N(int64(wait/2)+1)))
+}
+
+// Replied takes a reply. What it returns is to be kept, and then told by Saved; nil where there
+// is nothing to keep. The error tells why the reply was not taken.
+func (f *Follower) Replied(now time.Duration, number uint64, r Reply) (*Save, error) {
+	f.now = max(f.now, now)
+	if !f.out || number != f.poll.Number {
+		return nil, nil // given up, or told twice
+	}
+	f.out, f.fails, f.heard = false, 0, f.now
+	if r.Wait > 0 {
+		f.due = max(f.due, f.now+min(r.Wait, waitMost))
+		return nil, nil
+	}
+	save, next, err := f.take(r)
+	if err == nil && next == nil && f.disk != "" && f.now-f.tried >= keepAgain {
+		same := f.use
+		save, next = &Save{Version: same.Version, Hash: same.Hash, Settled: same.Settled, Before: same.before()}, &same
+	}
+	if err != nil || next == nil {
+		if _, refused := err.(*Halted); err != nil && !refused {
+			f.due = f.now + 2*retryLeast
+		}
+		return nil, err
+	}
+	if f.disk != "" { // what is on the disk is older than what differences begin from
+		save.Whole, save.Set, save.Delete = true, next.Set.List(), nil
+	}
+	f.next = next
+	return save, nil
+}
+
+// take works out what a reply makes of what is in force.
+func (f *Follower) take(r Reply) (*Save, *InUse, error) {
+	var next InUse
+	save := &Save{}
+	switch {
+	case r.State != nil:
+		s := r.State
+		if s.Version < f.use.Version || s.Version == f.use.Version && s.Hash == f.use.Hash && !f.whole {
+			return nil, nil, nil // never back
+		}
+		set := Set{}.with(s.Resources, nil)
+		if sum := set.Sum(); sum != s.Hash {
+			return nil, nil, &WrongHash{s.Version, sum, s.Hash}
+		}
+		next = inUse(s.Version, s.Hash, set, r.Settled, r.Before)
+		save.Whole, save.Set = true, s.Resources
+	case r.Difference != nil:
+		d := r.Difference
+		if d.Base != f.use.Version || d.BaseHash != f.use.Hash || d.Version <= d.Base {
+			return nil, nil, &WrongBase{d.Base, f.use.Version}
+		}
+		set := f.use.Set.with(d.Set, d.Delete)
+		if sum := set.Sum(); sum != d.Hash {
+			f.whole = true // what is here may be what is wrong
+			return nil, nil, &WrongHash{d.Version, sum, d.Hash}
+		}
+		next = inUse(d.Version, d.Hash, set, r.Settled, r.Before)
+		save.Set, save.Delete = d.Set, d.Delete
+	case r.Settled > f.use.Settled:
+		next = inUse(f.use.Version, f.use.Hash, f.use.Set, r.Settled, r.Before)
+	default:
+		return nil, nil, nil
+	}
+	if next.Settled < f.use.Settled {
+		// From one that led before, or of a version that has been halted. What has settled here
+		// stays so: ceilings go on from it.
+		next.Settled = f.use.Settled
+		next.Before = maps.Clone(f.use.Before)
+		for k, r := range f.use.Set {
+			if kind, _ := k.Split(); kind == KindPlan && string(next.Set[k].Data) != string(r.Data) && next.Before[k] == nil {
+				next.Before[k] = r.Data
+			}
+		}
+	}
+	save.Version, save.Hash, save.Settled, save.Before = next.Version, next.Hash, next.Settled, next.before()
+	if r.State != nil || r.Difference != nil {
+		if err := f.check(next.Set); err != nil {
+			refused, one := err.(*Refused)
+			if !one {
+				refused = &Refused{Why: err.Error()}
+			}
+			if refused.Line == 0 {
+				refused.Line = next.Set[refused.Key].Line
+			}
+			f.refused = &Halted{Version: next.Version, Follower: f.cfg.Name, Refused: *refused}
+			return nil, nil, f.refused
+		}
+	}
+	return save, &next, nil
+}
+
+// Saved tells that what Replied returned is kept, or why not: it is put in force all the same,
+// and operators are told. What it returns is to be decided by from now on, and then told by
+// Using.
+func (f *Follower) Saved(now time.Duration, err error) *InUse {
+	f.now = max(f.now, now)
+	if f.disk, f.tried = "", f.now; err != nil {
+		f.disk = err.Error()
+	}
+	return f.next
+}
+
+// Using tells that the ingress decides by what Saved returned.
+func (f *Follower) Using(now time.Duration) {
+	f.now = max(f.now, now)
+	if f.next == nil {
+		return
+	}
+	if f.next.Version > f.use.Version {
+		f.refused = nil
+	}
+	f.use, f.next, f.whole = *f.next, nil, false
+}
+
+// Describe tells in one line what is in force, for logs and status.
+func (u *InUse) Describe() string {
+	kinds := map[string]int{}
+	for k := range u.Set {
+		kind, _ := k.Split()
+		kinds[kind]++
+	}
+	s := fmt.Sprintf("version %d (%.12s)", u.Version, u.Hash)
+	for _, kind := range []string{KindPlan, KindLimit, KindService, KindRoute} {
+		if kinds[kind] > 0 {
+			s += fmt.Sprintf(", %d %ss", kinds[kind], kind)
+		}
+	}
+	return s
+}
+
+// Keys are the keys of a kind, in order.
+func (u *InUse) Keys(kind string) (keys []Key) {
+	for k := range u.Set {
+		if is, _ := k.Split(); is == kind {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/distribution/publisher.go
@@ -0,0 +1,497 @@
+package distribution
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Timing is the times and the pace that a publisher goes by.
+type Timing struct {
+	Hold  time.Duration // a question is held for so long at most while there is nothing new
+	Lease time.Duration // who was heard longer ago counts as gone; a new publisher waits for so long to hear all
+	Fresh time.Duration // nothing is given out if a majority confirmed longer ago that this one leads; 0: none has to
+	Rate  float64       // bytes a second of large replies, to all followers together
+	Burst float64       // bytes of these that may go at once
+}
+
+const (
+	large   = 32 << 10    // bytes from which on a reply is paced
+	again   = time.Second // between two large replies to one follower at least, and two tries at an entry of the log
+	mostWhy = 1024        // bytes of a follower's words that are kept
+
+	mostBefores = 64 // lists of what plans were before that are kept made
+)
+
+// DefaultTiming keeps a change within 4 s of the end of a fault: a question that was lost is
+// made anew after Hold and the follower's patience. The pace is half of what a link of a gigabit
+// carries: 2,200 routes that all change, 440 KB to each of 480, take 3.3 s.
+func DefaultTiming() Timing {
+	return Timing{Hold: time.Second, Lease: 4 * time.Second, Fresh: 2 * time.Second, Rate: 64 << 20, Burst: 8 << 20}
+}
+
+// Poll is what a follower tells and asks: what it decides by, and for what is newer.
+type Poll struct {
+	Follower string  `json:"follower"`
+	Region   string  `json:"region,omitempty"`
+	Life     uint64  `json:"life"`              // of its process: a later start has a greater one
+	Number   uint64  `json:"number"`            // of the question in this life, from 1
+	Version  uint64  `json:"version"`           // in force; 0: none
+	Hash     Hash    `json:"hash"`              // of that version as it is there
+	Settled  uint64  `json:"settled"`           // as it was told last
+	Whole    bool    `json:"whole,omitempty"`   // its own is damaged
+	Refused  *Halted `json:"refused,omitempty"` // the last version that it could not use, if none was since
+	Disk     string  `json:"disk,omitempty"`    // why it can't keep what it has
+}
+
+// State is a whole version as it is sent and kept.
+type State struct {
+	Version   uint64     `json:"version"`
+	Hash      Hash       `json:"hash"`
+	Resources []Resource `json:"resources"`
+}
+
+// Difference leads from one version to another.
+type Difference struct {
+	Base     uint64     `json:"base"`
+	BaseHash Hash       `json:"base_hash"`
+	Version  uint64     `json:"version"`
+	Hash     Hash       `json:"hash"`
+	Set      []Resource `json:"set,omitempty"`
+	Delete   []Key      `json:"delete,omitempty"`
+}
+
+// Reply answers a Poll. Without State and Difference the follower has what there is for it.
+type Reply struct {
+	State      *State        `json:"state,omitempty"` // shared with other replies: not to be changed
+	Difference *Difference   `json:"difference,omitempty"`
+	Wait       time.Duration `json:"wait,omitempty"`    // the whole state comes then: other followers are before it
+	Settled    uint64        `json:"settled,omitempty"` // no follower that is heard decides by an older version than this; 0: says nothing
+	Before     []Old         `json:"before,omitempty"`  // what the resources changed since Settled were in it, up to the follower's version
+	Newest     uint64        `json:"newest"`            // version in the log
+}
+
+// empty tells that a reply has nothing that its follower lacks.
+func (r *Reply) empty() bool {
+	return r.State == nil && r.Difference == nil && r.Wait == 0 && r.Settled == 0
+}
+
+// Answer is the reply to a question that was held.
+type Answer struct {
+	Follower string
+	Number   uint64
+	Reply    Reply
+}
+
+// seat is what a publisher knows of one follower, since it publishes.
+type seat struct {
+	poll     Poll
+	heard    time.Duration
+	held     bool
+	until    time.Duration // when a held question is answered in any case
+	reserved time.Duration // when its large reply is due
+	waits    bool          // it has such a place in the row
+	large    time.Duration // when it was sent one last
+}
+
+// Publisher is what the coordinator that leads does. It lives for one term; who leads next
+// begins with a new one.
+type Publisher struct {
+	timing  Timing
+	catalog *Catalog
+	began   time.Duration // to hear followers; again after a pause
+	now     time.Duration
+	sure    time.Duration // a majority confirmed then that this one leads
+	looked  news          // what there was when Due looked last
+	seats   map[string]*seat
+	free    time.Duration // the row of large replies is worked off then
+	whole   *State        // of the version that is given out
+	steps   map[uint64]*Difference
+	stepsTo uint64 // the version that these lead to
+	befores map[[2]uint64][]Old
+	asked   uint64        // the version whose settling is on its way into the log
+	askedAt time.Duration // when that was asked
+	halting uint64        // the version whose halt is
+	haltAt  time.Duration
+	joinAt  time.Duration // when followers were last taken into the log
+}
+
+// NewPublisher begins to publish what a catalog holds, which the caller goes on applying
+// entries to.
+func NewPublisher(timing Timing, catalog *Catalog, now time.Duration) *Publisher {
+	return &Publisher{timing: timing, catalog: catalog, began: now, now: now, sure: now, seats: map[string]*seat{}, joinAt: now - again,
+		befores: map[[2]uint64][]Old{}}
+}
+
+// Confirmed tells that a majority held this coordinator for the leader at a time: that at which
+// it was asked, not that of its answer. The caller asks at least twice in Timing.Fresh. So a
+// leader that was paused or cut off, and deposed meanwhile, gives out nothing by its old log:
+// no version that the others have halted since.
+func (p *Publisher) Confirmed(at time.Duration) { p.sure = max(p.sure, at) }
+
+// confirmed tells whether this publisher may give out anything.
+func (p *Publisher) confirmed() bool { return p.timing.Fresh == 0 || p.now-p.sure < p.timing.Fresh }
+
+// takes takes the time. A publisher that was paused for long has heard nobody meanwhile; that
+// says nothing about them, so it waits for all once more.
+func (p *Publisher) takes(now time.Duration) {
+	if now-p.now >= p.timing.Lease/2 {
+		p.began = now
+	}
+	p.now = max(p.now, now)
+}
+
+// news is all that the replies to held questions depend on.
+type news struct {
+	version, settled uint64
+	halted, sure     bool
+	followers        int
+}
+
+func (p *Publisher) news() news {
+	c := p.catalog
+	return news{c.Version, c.Settled, c.Halt != nil, p.confirmed(), len(c.Followers)}
+}
+
+// target is the version that is given out: the newest, or the one before while that is halted.
+func (p *Publisher) target() uint64 {
+	if h := p.catalog.Halt; h != nil && h.Version == p.catalog.Version {
+		return h.Version - 1
+	}
+	return p.catalog.Version
+}
+
+// Poll takes a question. It is answered at once, or held: then [Publisher.Due] answers it.
+func (p *Publisher) Poll(now time.Duration, q Poll) (reply Reply, held bool, err error) {
+	p.takes(now)
+	if q.Follower == "" || len(q.Follower) > mostFollowName || len(q.Region) > mostFollowName || q.Number == 0 {
+		return reply, false, &BadPoll{"a follower has a name and a region of 1 to 64 characters, and counts its questions from 1"}
+	}
+	s := p.seats[q.Follower]
+	if s == nil {
+		if _, known := p.catalog.Followers[q.Follower]; !known && max(len(p.seats), len(p.catalog.Followers)) >= MostFollowers {
+			return reply, false, &TooMany{MostFollowers}
+		}
+		s = &seat{}
+		p.seats[q.Follower] = s
+	}
+	// Repeated, or come late: it tells of what was before. A clock that was set back makes a
+	// later life's number the lower one; it is taken once nobody else is heard under the name.
+	if q.Life == s.poll.Life && q.Number <= s.poll.Number || q.Life < s.poll.Life && p.live(s) {
+		return reply, false, &BadPoll{"a later one has come under this name"}
+	}
+	if q.Life != s.poll.Life {
+		s.waits = false
+	}
+	q.Disk = q.Disk[:min(len(q.Disk), mostWhy)]
+	if q.Refused != nil {
+		q.Refused = &Halted{q.Refused.Version, q.Follower, q.Refused.Refused.bounded()}
+	}
+	s.poll, s.heard, s.until, s.held = q, p.now, p.now+p.timing.Hold, false
+	if reply = p.next(s); !reply.empty() {
+		return reply, false, nil
+	}
+	s.held = true
+	return Reply{}, true, nil
+}
+
+// next is what a follower lacks.
+func (p *Publisher) next(s *seat) Reply {
+	c, q, target := p.catalog, &s.poll, p.target()
+	reply := Reply{Newest: c.Version}
+	have, known := c.hashAt(q.Version)
+	at := q.Version
+	if _, joined := c.Followers[q.Follower]; !joined || !p.confirmed() {
+		return reply // who leads next must know of whoever decides by something
+	}
+	switch {
+	case q.Version > c.Version, target == 0 && q.Version == 0:
+		return reply
+	case q.Refused != nil && q.Refused.Version == target && q.Version < target:
+		return reply // until there is another
+	case q.Whole && q.Version <= target, q.Version < target && (!known || have != q.Hash), q.Version == target && have != q.Hash:
+		if reply.Wait = p.pace(s, p.state().size()); reply.Wait > 0 {
+			return reply
+		}
+		reply.State, at = p.state(), target
+	case q.Version < target:
+		d := p.step(q.Version)
+		if reply.Wait = p.pace(s, d.size()); reply.Wait > 0 {
+			return reply
+		}
+		reply.Difference, at = d, target
+	}
+	if at != q.Version || reply.State != nil || c.Settled > q.Settled && c.Settled <= at {
+		reply.Settled = min(c.Settled, at)
+		reply.Before = p.before(reply.Settled, at)
+	}
+	return reply
+}
+
+// before is what plans changed after a version, up to another, were in it. Most followers get
+// the same, so it is made once.
+func (p *Publisher) before(settled, at uint64) []Old {
+	span := [2]uint64{settled, at}
+	list, made := p.befores[span]
+	if !made {
+		for _, o := range p.catalog.since(settled, at) {
+			// Of plans alone: their ceilings hold together with those of before.
+			if kind, _ := o.Key.Split(); kind == KindPlan && o.Data != nil {
+				list = append(list, o)
+			}
+		}
+		if len(p.befores) >= mostBefores {
+			clear(p.befores)
+		}
+		p.befores[span] = list
+	}
+	return list
+}
+
+func sizeOf(list []Resource) (n int) {
+	for _, r := range list {
+		n += r.size()
+	}
+	return n
+}
+
+func (s *State) size() int { return sizeOf(s.Resources) }
+
+func (d *Difference) size() int { return sizeOf(d.Set) }
+
+// state is the whole of the version that is given out.
+func (p *Publisher) state() *State {
+	target := p.target()
+	if p.whole == nil || p.whole.Version != target {
+		set, err := p.catalog.At(target)
+		if err != nil {
+			panic(err) // it is the newest or the one before, which are kept always
+		}
+		hash, _ := p.catalog.hashAt(target)
+		p.whole = &State{target, hash, set.List()}
+	}
+	return p.whole
+}
+
+// step is the difference from a version that is kept to the one that is given out. Most
+// followers have the same, so it is made once.
+func (p *Publisher) step(from uint64) *Difference {
+	target := p.target()
+	if p.steps == nil || p.stepsTo != target {
+		p.steps, p.stepsTo = map[uint64]*Difference{}, target
+	}
+	d := p.steps[from]
+	if d == nil {
+		d = &Difference{Base: from, Version: target}
+		d.BaseHash, _ = p.catalog.hashAt(from)
+		d.Hash, _ = p.catalog.hashAt(target)
+		var err error
+		if d.Set, d.Delete, err = p.catalog.difference(from, target); err != nil {
+			panic(err) // both are kept
+		}
+		p.steps[from] = d
+	}
+	return d
+}
+
+// pace gives a large reply its place in the row, and tells how long its follower has to
+// wait for it; 0 for now. The row is worked off at Timing.Rate, after a burst.
+func (p *Publisher) pace(s *seat, size int) time.Duration {
+	if size < large {
+		return 0
+	}
+	if !s.waits || p.now > s.reserved+p.timing.Lease { // no place, or it let that one go by
+		span := time.Duration(float64(size) / p.timing.Rate * float64(time.Second))
+		burst := time.Duration(p.timing.Burst / p.timing.Rate * float64(time.Second))
+		p.free = max(p.free, p.now-burst) + span
+		s.waits, s.reserved = true, max(p.free, p.now)
+		if s.large > 0 {
+			s.reserved = max(s.reserved, s.large+again)
+		}
+	}
+	if s.reserved > p.now {
+		return s.reserved - p.now
+	}
+	s.waits, s.large = false, p.now
+	return 0
+}
+
+// Due answers the held questions that have an answer now: because there is something new,
+// or because their time is over.
+func (p *Publisher) Due(now time.Duration) (answers []Answer) {
+	p.takes(now)
+	looked := p.news()
+	var names []string
+	for name, s := range p.seats {
+		if s.held && (looked != p.looked || p.now >= s.until) {
+			names = append(names, name)
+		}
+	}
+	p.looked = looked
+	slices.Sort(names)
+	for _, name := range names {
+		s := p.seats[name]
+		if reply := p.next(s); !reply.empty() || p.now >= s.until {
+			s.held = false
+			answers = append(answers, Answer{name, s.poll.Number, reply})
+		}
+	}
+	return answers
+}
+
+// Next tells when Due has an answer though nothing happens; false for never.
+func (p *Publisher) Next() (at time.Duration, any bool) {
+	for _, s := range p.seats {
+		if s.held && (!any || s.until < at) {
+			at, any = s.until, true
+		}
+	}
+	return at, any
+}
+
+// live tells whether a follower's lease is on.
+func (p *Publisher) live(s *seat) bool {
+	return s != nil && p.now-s.heard < p.timing.Lease
+}
+
+// Tick makes the entries that the log should have: who follows, which version has settled,
+// and which is halted. The caller proposes them; what is not applied is made again.
+func (p *Publisher) Tick(now time.Duration) (entries []Entry) {
+	p.takes(now)
+	c := p.catalog
+	if p.now-p.joinAt >= again {
+		joined := map[string]string{}
+		for name, s := range p.seats {
+			if region, known := c.Followers[name]; p.live(s) && (!known || region != s.poll.Region) && len(c.Followers)+len(joined) < MostFollowers {
+				joined[name] = s.poll.Region
+			}
+		}
+		if len(joined) > 0 {
+			p.joinAt = p.now
+			entries = append(entries, Entry{Join: &Join{joined}})
+		}
+		maps.DeleteFunc(p.seats, func(name string, s *seat) bool {
+			_, known := c.Followers[name]
+			return !known && !p.live(s) // forgotten
+		})
+	}
+	if c.Halt == nil && c.Version > 0 && (p.halting != c.Version || p.now-p.haltAt >= again) {
+		for _, name := range slices.Sorted(maps.Keys(p.seats)) {
+			if r := p.seats[name].poll.Refused; p.live(p.seats[name]) && r != nil && r.Version == c.Version {
+				p.halting, p.haltAt = c.Version, p.now
+				entries = append(entries, Entry{Halt: &Halted{c.Version, name, r.Refused}})
+				break
+			}
+		}
+	}
+	if to := p.settles(); to > c.Settled && (to > p.asked || p.now-p.askedAt >= again) {
+		p.asked, p.askedAt = to, p.now
+		entries = append(entries, Entry{Settle: to})
+	}
+	return entries
+}
+
+// settles is the oldest version by which a follower may decide whose lease is on. Those that
+// the log knows and that were not heard yet may decide by any until a lease after the start.
+// A version that is halted does not settle: those that have not begun with it don't.
+func (p *Publisher) settles() uint64 {
+	c, least := p.catalog, p.target()
+	if p.now-p.began < p.timing.Lease {
+		for name := range c.Followers {
+			if s := p.seats[name]; s == nil || s.heard < p.began {
+				return 0
+			}
+		}
+	}
+	for _, s := range p.seats {
+		if !p.live(s) {
+			continue
+		}
+		if h, known := c.hashAt(s.poll.Version); !known || h != s.poll.Hash {
+			return 0 // what it decides by is none of ours
+		}
+		least = min(least, s.poll.Version)
+	}
+	return least
+}
+
+// Standing is how one follower stands.
+type Standing string
+
+// The standings.
+const (
+	InForce    Standing = "in force" // it decides by the version that is given out
+	Behind     Standing = "behind"
+	RefusedIt  Standing = "refused"
+	Silent     Standing = "silent"      // its lease has run out
+	NeverHeard Standing = "never heard" // by this publisher
+	IsAhead    Standing = "ahead"
+)
+
+// FollowerStatus is how one follower stands.
+type FollowerStatus struct {
+	Name     string        `json:"name"`
+	Region   string        `json:"region,omitempty"`
+	Standing Standing      `json:"standing"`
+	Version  uint64        `json:"version"`
+	Heard    time.Duration `json:"heard"` // ago
+	Why      string        `json:"why,omitempty"`
+}
+
+// Status is how configuration stands.
+type Status struct {
+	Version   uint64           `json:"version"`
+	Hash      Hash             `json:"hash"`
+	By        string           `json:"by,omitempty"`
+	Resources int              `json:"resources"`
+	Bytes     int              `json:"bytes"`
+	Oldest    uint64           `json:"oldest"`
+	Settled   uint64           `json:"settled"`
+	Halt      *Halted          `json:"halt,omitempty"`
+	Followers []FollowerStatus `json:"followers"` // in the order of region and name
+}
+
+// Status tells how all stands.
+func (p *Publisher) Status(now time.Duration) Status {
+	p.takes(now)
+	c := p.catalog
+	st := Status{Version: c.Version, Hash: c.Hash, By: c.By, Resources: len(c.Resources), Bytes: c.Set().Size(), Oldest: c.Oldest(), Settled: c.Settled, Halt: c.Halt}
+	names := maps.Clone(c.Followers)
+	for name, s := range p.seats {
+		names[name] = s.poll.Region
+	}
+	for name, region := range names {
+		s := p.seats[name]
+		f := FollowerStatus{Name: name, Region: region, Standing: NeverHeard}
+		if s != nil {
+			f.Version, f.Heard, f.Why = s.poll.Version, p.now-s.heard, s.poll.Disk
+			switch r := s.poll.Refused; {
+			case !p.live(s):
+				f.Standing = Silent
+			case s.poll.Version > c.Version:
+				f.Standing, f.Why = IsAhead, (&Ahead{name, s.poll.Version, c.Version}).Error()
+			case r != nil && r.Version > s.poll.Version:
+				f.Standing, f.Why = RefusedIt, r.Refused.Error()
+			case s.poll.Version < p.target():
+				f.Standing = Behind
+			default:
+				f.Standing = InForce
+			}
+		}
+		st.Followers = append(st.Followers, f)
+	}
+	slices.SortFunc(st.Followers, func(a, b FollowerStatus) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Name, b.Name))
+	})
+	return st
+}
+
+// Heard tells how long ago a follower asked; false if it did not since this publisher began.
+func (p *Publisher) Heard(now time.Duration, follower string) (ago time.Duration, ever bool) {
+	s := p.seats[follower]
+	if s == nil {
+		return 0, false
+	}
+	return max(p.now, now) - s.heard, true
+}
