--- a/distribution/catalog.go
+++ b/distribution/catalog.go
@@ -100,6 +100,20 @@
 	return nil
 }
 
+// CheckOrder tells why an entry is no order of an operator's, as Check does or as a *BadRequest.
+func (e Entry) CheckOrder() error {
+	orders := 0
+	for _, is := range []bool{e.Push != nil, e.Back != nil, e.Forget != ""} {
+		if is {
+			orders++
+		}
+	}
+	if orders != 1 || e.Halt != nil || e.Settle > 0 || e.Join != nil || e.Request == "" {
+		return &BadRequest{"a push, a way back or a follower to forget is wanted, and a name for the request"}
+	}
+	return e.Check()
+}
+
 // Outcome is what came of an operator's request.
 type Outcome struct {
 	ID      string          `json:"id"`
@@ -270,6 +284,17 @@
 	return nil
 }
 
+// Made is the version that an operator's request made, or met where it made none; false if
+// the request is not remembered.
+func (c *Catalog) Made(request string) (version uint64, known bool) {
+	for _, done := range c.Requests {
+		if done.ID == request {
+			return done.Version, true
+		}
+	}
+	return 0, false
+}
+
 func (c *Catalog) apply(e Entry) error {
 	switch {
 	case e.Push != nil:
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -15,9 +15,10 @@
 	Life         uint64        // greater at each start, such as the system's time in nanoseconds
 	Coordinators int           // how many there are to ask
 	Patience     time.Duration // with one question: more than the publisher holds it
-	// Check tells why a whole set can't be used here, as a *Refused where it is for one
-	// resource. It has no effects. Set.Check has found nothing by then.
-	Check func(Set) error
+	// Check tells why resources that are new or have changed can't be used here, as a *Refused
+	// where it is for one of them. It has no effects. Each is sound by itself by then, and the
+	// whole is what the log has, which was checked there.
+	Check func(changed []Resource) error
 }
 
 // The waits of a follower.
@@ -128,7 +129,7 @@
 	if sum := set.Sum(); sum != kept.Hash {
 		return f, &StateDamaged{(&WrongHash{kept.Version, sum, kept.Hash}).Error()}
 	}
-	if err := f.check(set); err != nil {
+	if err := f.check(kept.Resources); err != nil {
 		return f, &StateDamaged{err.Error()}
 	}
 	f.use = inUse(kept.Version, kept.Hash, set, kept.Settled, kept.Before)
@@ -151,12 +152,14 @@
 	return list
 }
 
-func (f *Follower) check(set Set) error {
-	if err := set.Check(); err != nil {
-		return err
+func (f *Follower) check(changed []Resource) error {
+	for _, r := range changed {
+		if why := r.check(); why != "" {
+			return &Refused{Key: r.Key, Line: r.Line, Why: why}
+		}
 	}
 	if f.cfg.Check != nil {
-		return f.cfg.Check(set)
+		return f.cfg.Check(changed)
 	}
 	return nil
 }
@@ -292,7 +295,7 @@
 	}
 	save.Version, save.Hash, save.Settled, save.Before = next.Version, next.Hash, next.Settled, next.before()
 	if r.State != nil || r.Difference != nil {
-		if err := f.check(next.Set); err != nil {
+		if err := f.check(save.Set); err != nil {
 			refused, one := err.(*Refused)
 			if !one {
 				refused = &Refused{Why: err.Error()}
@@ -330,6 +333,17 @@
 	f.use, f.next, f.whole = *f.next, nil, false
 }
 
+// Unusable tells, in place of Using, that the ingress could not decide by what Saved returned,
+// though it had been checked: it is refused as if the check had found it.
+func (f *Follower) Unusable(now time.Duration, why error) {
+	f.now = max(f.now, now)
+	if f.next == nil {
+		return
+	}
+	f.refused = &Halted{Version: f.next.Version, Follower: f.cfg.Name, Refused: Refused{Why: why.Error()}}
+	f.next, f.disk = nil, "it holds a version that can't be used"
+}
+
 // Describe tells in one line what is in force, for logs and status.
 func (u *InUse) Describe() string {
 	kinds := map[string]int{}
--- a/distribution/resource.go
+++ b/distribution/resource.go
@@ -199,6 +199,12 @@
 // Limit reads a limit.
 func (r Resource) Limit() (l Limit, err error) { err = decode(r, &l); return l, err }
 
+// Service reads a service.
+func (r Resource) Service() (s Service, err error) { err = decode(r, &s); return s, err }
+
+// Route reads a route.
+func (r Resource) Route() (o Route, err error) { err = decode(r, &o); return o, err }
+
 // check tells what is wrong with a resource by itself; "" for nothing.
 func (r Resource) check() string {
 	kind, name := r.Key.Split()
