Change plans and limits between two requests, with every ceiling kept

Gateway.Change takes them as an event. What is known of customers stays; a part of a ceiling has filled by the old terms until that moment, also for customers who are not known, and nobody is forgotten as full by terms that are younger than his last request.

Each guard taken out is found by TestChangedCeilingFillsFromWhatWasThere or TestChangedQuotaIsHeld: filling up to the change, the time ceilings began to fill for others, the time of the change in forgetting, the plan of known customers, readings in other units.

Nothing calls Change on the platform.

--- a/choice/api.go
+++ b/choice/api.go
@@ -91,6 +91,13 @@
 	CeilingTolerance float64 // how far that store may go below 0
 }
 
+// Terms are what may change between two requests.
+type Terms struct {
+	Plans         []Plan // those that there were keep their numbers; new ones follow
+	MaxAttempts   int
+	MaxRetryAfter time.Duration
+}
+
 // State is what the list of backends says of one.
 type State int
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,7 +6,6 @@
 // and its source are told in docs/design/choice.md.
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -74,8 +73,10 @@
 	rng       *rand.Rand
 	now       time.Duration
 	born      time.Duration
-	begun     time.Duration // a gateway in this one's place may have drawn on ceilings until then
-	slot      time.Duration // length of a slot of own history
+	begun     time.Duration   // a gateway in this one's place may have drawn on ceilings until then
+	filled    []time.Duration // by plan, once its terms have changed: as if ceilings had begun to fill then
+	changed   time.Duration   // a ceiling
+	slot      time.Duration   // length of a slot of own history
 	customers map[account]*customer
 	kept      []*customer // the same in a row, so that what goes does not hang on map order
 	hand      int         // place in it of the one to be looked at next when one must go
@@ -199,61 +200,6 @@
 	filled   time.Duration // as of when
 }
 
-// New makes a gateway. Its error names the field of cfg that cannot be served.
-func New(cfg Config, seed uint64, now time.Duration, act Actions) (*Gateway, error) {
-	switch {
-	case act == nil:
-		return nil, fmt.Errorf("choice: Actions is nil")
-	case cfg.Gateways < 1:
-		return nil, fmt.Errorf("choice: Config.Gateways is %d, want at least 1", cfg.Gateways)
-	case cfg.Self < 0 || cfg.Self >= cfg.Gateways:
-		return nil, fmt.Errorf("choice: Config.Self is %d, outside the %d gateways", cfg.Self, cfg.Gateways)
-	case cfg.MaxAttempts < 1:
-		return nil, fmt.Errorf("choice: Config.MaxAttempts is %d, want at least 1", cfg.MaxAttempts)
-	case len(cfg.Classes) == 0:
-		return nil, fmt.Errorf("choice: Config.Classes is empty")
-	case len(cfg.Plans) == 0:
-		return nil, fmt.Errorf("choice: Config.Plans is empty")
-	case cfg.MeterPeriod < 0:
-		return nil, fmt.Errorf("choice: Config.MeterPeriod is negative")
-	}
-	for i, c := range cfg.Classes {
-		if c.Aim <= 0 || c.Deadline <= 0 {
-			return nil, fmt.Errorf("choice: Config.Classes[%d]: Aim and Deadline must be above 0", i)
-		}
-	}
-	for i, p := range cfg.Plans {
-		names := [...]string{"Rate", "Burst", "Open", "CeilingRate", "CeilingBurst"}
-		for j, v := range [...]float64{p.Rate, p.Burst, float64(p.Open), p.CeilingRate, p.CeilingBurst} {
-			if !(v >= 0) || math.IsInf(v, 0) {
-				return nil, fmt.Errorf("choice: Config.Plans[%d].%s is %v, want 0 or more", i, names[j], v)
-			}
-		}
-	}
-	g := &Gateway{
-		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
-		now: now, born: now, begun: now,
-		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
-		customers: map[account]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
-		zones:   map[int]float64{},
-		classes: make([]classSeen, len(cfg.Classes)), bank: retryBank / 2, opened: limitWidest, clear: 1,
-		inflight: slices.Index(cfg.ReportFields, "inflight"),
-		meter:    meterClock{lag: lagGuess * slotsPeriod},
-	}
-	for i, c := range cfg.Classes {
-		g.longest = max(g.longest, c.Aim)
-		g.firstGap = g.longest.Seconds()
-		g.classes[i] = classSeen{c.Aim.Seconds() / 4, c.Aim.Seconds() / 4}
-	}
-	if g.limit = cfg.Limit; g.limit == nil {
-		g.limit = newLimit(len(cfg.Classes), g.limitStep(), now)
-	}
-	if cfg.RetryAfter {
-		g.advice = cfg.MaxRetryAfter / adviceParts
-	}
-	return g, nil
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Admission.
@@ -298,11 +244,8 @@
 		}
 		// The part of the ceiling begins empty when the gateway starts, since one before it may have drawn
 		// all of it; it fills from then on whether the customer is known or not.
-		c = &customer{key: key, place: len(g.kept), plan: p, chance: 1 / startUse, applied: 1, store: p.Burst,
-			storeAt: g.now, ceilAt: g.begun, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
-		if p.Rate <= 0 {
-			c.mean = startUse
-		}
+		c = &customer{key: key, place: len(g.kept), plan: p, ceilAt: g.fills(in.Plan)}
+		g.unread(c)
 		c.dither = g.rng.Float64()
 		c.head = g.slotOf(g.now)
 		for i := range c.slots {
@@ -319,6 +262,15 @@
 	return c
 }
 
+// unread makes c one of whose use nothing has been read.
+func (g *Gateway) unread(c *customer) {
+	c.chance, c.applied, c.own, c.asked = 1/startUse, 1, 0, 0
+	c.measured, c.store, c.storeAt = false, c.plan.Burst, g.now
+	if c.mean = startUse; c.plan.Rate > 0 {
+		c.mean = startUse * c.plan.Rate * g.cfg.MeterPeriod.Seconds()
+	}
+}
+
 // admit is the ordinary path. While the store that the meter shows holds units, this gateway's even share of
 // them passes without the chance; all else meets the one chance a = 1 - b.
 func (g *Gateway) admit(c *customer, r *request) bool {
@@ -551,7 +503,7 @@
 
 // full tells whether c's part of its ceiling has filled since its last request.
 func (g *Gateway) full(c *customer) bool {
-	return (g.now-c.last).Seconds()*c.plan.CeilingRate >= c.plan.CeilingBurst
+	return (g.now-max(c.last, g.changed)).Seconds()*c.plan.CeilingRate >= c.plan.CeilingBurst
 }
 
 func (g *Gateway) forget(c *customer) {
--- /dev/null
+++ b/choice/config.go
@@ -0,0 +1,80 @@
+package choice
+
+// What a Config may say, and what a gateway begins with. Nothing in this file decides.
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// New makes a gateway. Its error names the field of cfg that cannot be served.
+func New(cfg Config, seed uint64, now time.Duration, act Actions) (*Gateway, error) {
+	if act == nil {
+		return nil, fmt.Errorf("choice: Actions is nil")
+	}
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
+		now: now, born: now, begun: now, changed: now,
+		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
+		customers: map[account]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
+		zones:   map[int]float64{},
+		classes: make([]classSeen, len(cfg.Classes)), bank: retryBank / 2, opened: limitWidest, clear: 1,
+		inflight: slices.Index(cfg.ReportFields, "inflight"),
+		meter:    meterClock{lag: lagGuess * slotsPeriod},
+	}
+	for i, c := range cfg.Classes {
+		g.longest = max(g.longest, c.Aim)
+		g.firstGap = g.longest.Seconds()
+		g.classes[i] = classSeen{c.Aim.Seconds() / 4, c.Aim.Seconds() / 4}
+	}
+	if g.limit = cfg.Limit; g.limit == nil {
+		g.limit = newLimit(len(cfg.Classes), g.limitStep(), now)
+	}
+	g.advise()
+	return g, nil
+}
+
+// advise sets the advice given with a refusal.
+func (g *Gateway) advise() {
+	if g.cfg.RetryAfter {
+		g.advice = g.cfg.MaxRetryAfter / adviceParts
+	}
+}
+
+// check returns an error that names the field that cannot be served.
+func (cfg *Config) check() error {
+	switch {
+	case cfg.Gateways < 1:
+		return fmt.Errorf("choice: Config.Gateways is %d, want at least 1", cfg.Gateways)
+	case cfg.Self < 0 || cfg.Self >= cfg.Gateways:
+		return fmt.Errorf("choice: Config.Self is %d, outside the %d gateways", cfg.Self, cfg.Gateways)
+	case cfg.MaxAttempts < 1:
+		return fmt.Errorf("choice: Config.MaxAttempts is %d, want at least 1", cfg.MaxAttempts)
+	case len(cfg.Classes) == 0:
+		return fmt.Errorf("choice: Config.Classes is empty")
+	case len(cfg.Plans) == 0:
+		return fmt.Errorf("choice: Config.Plans is empty")
+	case cfg.MeterPeriod < 0:
+		return fmt.Errorf("choice: Config.MeterPeriod is negative")
+	}
+	for i, c := range cfg.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 {
+			return fmt.Errorf("choice: Config.Classes[%d]: Aim and Deadline must be above 0", i)
+		}
+	}
+	for i, p := range cfg.Plans {
+		names := [...]string{"Rate", "Burst", "Open", "CeilingRate", "CeilingBurst"}
+		for j, v := range [...]float64{p.Rate, p.Burst, float64(p.Open), p.CeilingRate, p.CeilingBurst} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("choice: Config.Plans[%d].%s is %v, want 0 or more", i, names[j], v)
+			}
+		}
+	}
+	return nil
+}
