Keep configuration on the coordinators' log, and answer its followers there

Need: versions of configuration have to be agreed on as grants are, and told to all by whoever leads.

The leader of a term publishes: questions are held and answered when an entry has been applied, or within 50 ms of their time; a coordinator that leads no more answers them with NotLeader.

--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -1,8 +1,8 @@
-// Package replica is one coordinator as a state machine: the decisions of package
-// rollout on the log of the raft library (go.etcd.io/raft). It has no I/O of its
-// own, no goroutine and no clock: time, messages, reports and orders come in,
-// messages go out, and what has to be kept goes to a Disk, which keeps it before
-// anything that rests on it is said.
+// Package replica is one coordinator as a state machine: the decisions of packages
+// rollout and distribution on the log of the raft library (go.etcd.io/raft). It has no
+// I/O of its own, no goroutine and no clock: time, messages, reports, questions and
+// orders come in, messages and answers go out, and what has to be kept goes to a Disk,
+// which keeps it before anything that rests on it is said.
 //
 // The library draws its election times from the system's random numbers. So that
 // a seed gives the same run again, elections are begun here, by a generator of our
@@ -22,6 +22,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"wickarch/distribution"
 	"wickarch/rollout"
 )
 
@@ -47,17 +48,21 @@
 type Config struct {
 	ID       uint64 // new with each new disk: an empty disk under an old number could vote twice
 	Rollout  rollout.Config
-	Tick     time.Duration // between calls of Tick
-	Election int           // ticks without a leader before an election, at least; at most twice that
-	Compact  uint64        // entries applied before a snapshot takes their place
-	Decide   time.Duration // between decisions of the leader
+	Publish  distribution.Timing // the zero value for the default
+	Tick     time.Duration       // between calls of Tick
+	Election int                 // ticks without a leader before an election, at least; at most twice that
+	Compact  uint64              // entries applied before a snapshot takes their place
+	Decide   time.Duration       // between decisions of the leader
 }
 
+// publishEvery is the time between two looks at whose question is due.
+const publishEvery = 50 * time.Millisecond
+
 const keepEntries = 100 // behind a snapshot, for those that are a little late
 
 // Founding is the disk of a new set of coordinators, by their numbers and addresses.
 func Founding(peers map[uint64]string) (Stored, error) {
-	data, err := json.Marshal(snapshot{Peers: peers, State: rollout.NewState()})
+	data, err := json.Marshal(snapshot{Peers: peers, State: rollout.NewState(), Catalog: distribution.NewCatalog()})
 	if err != nil {
 		return Stored{}, err
 	}
@@ -75,15 +80,17 @@
 
 // snapshot is the data of a snapshot.
 type snapshot struct {
-	Peers map[uint64]string `json:"peers"`
-	State *rollout.State    `json:"state"`
+	Peers   map[uint64]string     `json:"peers"`
+	State   *rollout.State        `json:"state"`
+	Catalog *distribution.Catalog `json:"catalog,omitempty"` // nil in one of a build that had none
 }
 
 // proposal is the data of an entry.
 type proposal struct {
-	From  uint64        `json:"from"`
-	N     uint64        `json:"n"`
-	Entry rollout.Entry `json:"entry"`
+	From   uint64              `json:"from"`
+	N      uint64              `json:"n"`
+	Entry  rollout.Entry       `json:"entry"`
+	Config *distribution.Entry `json:"config,omitempty"` // in place of Entry
 }
 
 // Message is one to another coordinator.
@@ -103,27 +110,38 @@
 	peers map[uint64]string
 	conf  *pb.ConfState
 
-	now        time.Duration
-	applied    uint64
-	snapped    uint64 // index of the last snapshot
-	silent     int    // ticks since a leader was heard or a vote given
-	patience   int    // ticks until an election is begun
-	leader     *rollout.Leader
-	term       uint64 // of leader
-	leads      bool   // by the library's word
-	nextDecide time.Duration
-	asked      time.Duration // when the majority was last asked who leads
-	n          uint64
-	waiting    map[uint64]func(error) // orders, by the number of their proposal
-	out        []Message
-	err        error
+	now         time.Duration
+	applied     uint64
+	snapped     uint64 // index of the last snapshot
+	silent      int    // ticks since a leader was heard or a vote given
+	patience    int    // ticks until an election is begun
+	leader      *rollout.Leader
+	catalog     *distribution.Catalog
+	publisher   *distribution.Publisher // nil while this one does not lead
+	held        map[string]question     // by follower
+	published   uint64                  // index of the catalog that questions were answered by
+	nextPublish time.Duration
+	term        uint64 // of leader and publisher
+	leads       bool   // by the library's word
+	nextDecide  time.Duration
+	asked       time.Duration // when the majority was last asked who leads
+	n           uint64
+	waiting     map[uint64]func(error) // orders, by the number of their proposal
+	out         []Message
+	err         error
+}
+
+// question is one of a follower that is held.
+type question struct {
+	number uint64
+	answer func(distribution.Reply, error)
 }
 
 // New starts a coordinator on what its disk holds. With nothing on it, it waits
 // until the others take it in.
 func New(cfg Config, stored Stored, disk Disk, seed uint64, now time.Duration) (*Replica, error) {
 	r := &Replica{cfg: cfg, disk: disk, rng: rand.New(rand.NewPCG(seed, cfg.ID)), log: raft.NewMemoryStorage(), state: rollout.NewState(),
-		peers: map[uint64]string{}, conf: &pb.ConfState{}, now: now, waiting: map[uint64]func(error){}}
+		catalog: distribution.NewCatalog(), held: map[string]question{}, peers: map[uint64]string{}, conf: &pb.ConfState{}, now: now, waiting: map[uint64]func(error){}}
 	if s := stored.Snapshot; s != nil {
 		if err := r.restore(s); err != nil {
 			return nil, err
@@ -166,6 +184,13 @@
 	if err := json.Unmarshal(s.GetData(), &data); err != nil || data.State == nil {
 		return fmt.Errorf("replica: a snapshot that can't be read: %w", err)
 	}
+	if data.Catalog == nil {
+		data.Catalog = distribution.NewCatalog()
+	}
+	if err := data.Catalog.Verify(); err != nil {
+		return fmt.Errorf("replica: a snapshot that can't be used: %w", err)
+	}
+	r.catalog = data.Catalog
 	r.state, r.peers, r.conf = data.State, data.Peers, s.GetMetadata().GetConfState()
 	if r.state.Members == nil {
 		r.state.Members = map[string]*rollout.Seat{}
@@ -247,7 +272,10 @@
 			r.nextDecide = r.now + r.cfg.Decide
 			r.propose(r.leader.Tick(r.now))
 		}
-		return r.work()
+		if err := r.work(); err != nil {
+			return err
+		}
+		return r.publish()
 	})
 }
 
@@ -277,7 +305,10 @@
 		if err := r.node.Step(&m); err != nil && !errors.Is(err, raft.ErrStepPeerNotFound) && !errors.Is(err, raft.ErrStepLocalMsg) {
 			return &rollout.BadRequest{What: err.Error()}
 		}
-		return r.work()
+		if err := r.work(); err != nil {
+			return err
+		}
+		return r.publish()
 	})
 }
 
@@ -341,6 +372,110 @@
 	}
 }
 
+// Poll takes a follower's question. answer is called once, at once or when there is something
+// new, or when the question's time is over; with *rollout.NotLeader where another leads.
+func (r *Replica) Poll(now time.Duration, q distribution.Poll, answer func(distribution.Reply, error)) {
+	r.now = max(r.now, now)
+	err := r.guard(func() error {
+		if r.publisher == nil {
+			return &rollout.NotLeader{Leader: r.Leads()}
+		}
+		reply, held, err := r.publisher.Poll(r.now, q)
+		if err != nil {
+			return err
+		}
+		if before, any := r.held[q.Follower]; any && (held || before.number < q.Number) {
+			delete(r.held, q.Follower)
+			before.answer(distribution.Reply{Newest: r.catalog.Version}, nil)
+		}
+		if held {
+			r.held[q.Follower] = question{q.Number, answer}
+		} else {
+			answer(reply, nil)
+		}
+		return r.publish()
+	})
+	if err != nil {
+		answer(distribution.Reply{}, err)
+	}
+}
+
+// publish does what the publisher has ready: entries for the log, and answers to followers.
+// Most of the time there is nothing, and to look for it takes a step a follower.
+func (r *Replica) publish() error {
+	if r.publisher == nil {
+		return nil
+	}
+	waits := r.catalog.Settled < r.catalog.Version
+	if waits || r.now >= r.nextPublish {
+		for _, e := range r.publisher.Tick(r.now) {
+			r.putProposal(proposal{Config: &e}) // dropped, it is made again
+		}
+		if err := r.work(); err != nil || r.publisher == nil {
+			return err
+		}
+	}
+	if r.catalog.Index == r.published && r.now < r.nextPublish {
+		return nil
+	}
+	r.published, r.nextPublish = r.catalog.Index, r.now+publishEvery
+	for _, a := range r.publisher.Due(r.now) {
+		if q, any := r.held[a.Follower]; any && q.number == a.Number {
+			delete(r.held, a.Follower)
+			q.answer(a.Reply, nil)
+		}
+	}
+	return nil
+}
+
+// Configure takes an operator's change of configuration. done is called once it has been
+// applied, or with *rollout.Undecided when that can't be told any more.
+func (r *Replica) Configure(now time.Duration, e distribution.Entry, done func(error)) {
+	r.now = max(r.now, now)
+	err := r.guard(func() error {
+		if r.publisher == nil {
+			return &rollout.NotLeader{Leader: r.Leads()}
+		}
+		if e.Forget != "" {
+			if ago, ever := r.publisher.Heard(r.now, e.Forget); ever && ago < distribution.DefaultTiming().Lease {
+				return &distribution.StillThere{Follower: e.Forget, Heard: ago}
+			}
+		}
+		n := r.n + 1
+		r.waiting[n] = done
+		if err := r.putProposal(proposal{Config: &e}); err != nil {
+			delete(r.waiting, n)
+			return err
+		}
+		if err := r.work(); err != nil {
+			return err
+		}
+		return r.publish()
+	})
+	if err != nil {
+		done(err)
+	}
+}
+
+// Catalog is what the log says of configuration, for reading, by the coordinator that leads.
+func (r *Replica) Catalog() (*distribution.Catalog, error) {
+	if r.err != nil {
+		return nil, r.err
+	}
+	if r.publisher == nil {
+		return nil, &rollout.NotLeader{Leader: r.Leads()}
+	}
+	return r.catalog, nil
+}
+
+// ConfigStatus tells where which version is in force, by the leader.
+func (r *Replica) ConfigStatus(now time.Duration) (distribution.Status, error) {
+	if _, err := r.Catalog(); err != nil {
+		return distribution.Status{}, err
+	}
+	return r.publisher.Status(now), nil
+}
+
 // Replace puts a new coordinator in the place of an old one.
 func (r *Replica) Replace(now time.Duration, old, new uint64, address string) error {
 	r.now = max(r.now, now)
@@ -383,9 +518,12 @@
 	}
 }
 
-func (r *Replica) put(e rollout.Entry) error {
+func (r *Replica) put(e rollout.Entry) error { return r.putProposal(proposal{Entry: e}) }
+
+func (r *Replica) putProposal(p proposal) error {
 	r.n++
-	data, err := json.Marshal(proposal{r.cfg.ID, r.n, e})
+	p.From, p.N = r.cfg.ID, r.n
+	data, err := json.Marshal(p)
 	if err != nil {
 		return err
 	}
@@ -438,7 +576,9 @@
 		}
 		for _, read := range ready.ReadStates {
 			if c := read.RequestCtx; len(c) == 16 && r.leader != nil && binary.BigEndian.Uint64(c) == r.term {
-				r.leader.Confirmed(time.Duration(binary.BigEndian.Uint64(c[8:])))
+				at := time.Duration(binary.BigEndian.Uint64(c[8:]))
+				r.leader.Confirmed(at)
+				r.publisher.Confirmed(at)
 			}
 		}
 		for _, e := range ready.CommittedEntries {
@@ -477,6 +617,11 @@
 		// All of earlier terms has been applied: from here on this one decides.
 		r.term = e.GetTerm()
 		r.leader = rollout.NewLeader(r.cfg.Rollout, r.state, r.term, r.now)
+		timing := r.cfg.Publish
+		if timing == (distribution.Timing{}) {
+			timing = distribution.DefaultTiming()
+		}
+		r.publisher = distribution.NewPublisher(timing, r.catalog, r.now)
 		r.nextDecide, r.asked = r.now, r.now-r.cfg.Decide
 	}
 	switch e.GetType() {
@@ -512,9 +657,14 @@
 	if err := json.Unmarshal(e.GetData(), &p); err != nil {
 		return fmt.Errorf("replica: entry %d: %w", r.applied, err)
 	}
-	err := r.state.Apply(r.applied, p.Entry)
-	if r.leader != nil && e.GetTerm() == r.term {
-		r.leader.Applied(p.Entry)
+	var err error
+	if p.Config != nil {
+		err = r.catalog.Apply(r.applied, *p.Config)
+	} else {
+		err = r.state.Apply(r.applied, p.Entry)
+		if r.leader != nil && e.GetTerm() == r.term {
+			r.leader.Applied(p.Entry)
+		}
 	}
 	if done := r.waiting[p.N]; done != nil && p.From == r.cfg.ID && r.leader != nil && e.GetTerm() == r.term {
 		delete(r.waiting, p.N)
@@ -524,7 +674,11 @@
 }
 
 func (r *Replica) stepDown(why string) {
-	r.leader, r.leads = nil, false
+	r.leader, r.publisher, r.leads = nil, nil, false
+	for follower, q := range r.held {
+		delete(r.held, follower)
+		q.answer(distribution.Reply{}, &rollout.NotLeader{Leader: r.Leads()})
+	}
 	for n, done := range r.waiting {
 		delete(r.waiting, n)
 		done(&rollout.Undecided{Why: why})
@@ -533,7 +687,7 @@
 
 // compact puts a snapshot in the place of the entries before it.
 func (r *Replica) compact() error {
-	data, err := json.Marshal(snapshot{r.peers, r.state})
+	data, err := json.Marshal(snapshot{r.peers, r.state, r.catalog})
 	if err != nil {
 		return fmt.Errorf("replica: %w", err)
 	}
