Take questions and orders of configuration at the coordinators

Need: followers ask the coordinator that leads, and operators order there.

Four calls beside those of rollouts (rolloutlink): the newest version, an order, a question that is held, the status. What many followers are sent alike is written as JSON once.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -16,16 +16,18 @@
 
 	"golang.org/x/net/netutil"
 
+	"wickarch/distribution"
 	"wickarch/internal/rolloutlink"
 	"wickarch/rollout"
 	"wickarch/rollout/replica"
 )
 
 const (
-	mostConns   = 4096 // at once
-	mostWaiting = 1024 // calls for the one goroutine
+	mostConns   = 8192 // at once: 480 ingresses that ask besides 4,680 agents, and as much again
+	mostWaiting = 2048 // calls for the one goroutine
 	mostQueued  = 256  // messages for one other coordinator; what is more is dropped, as networks do
 	callTime    = 5 * time.Second
+	pollTime    = 4 * time.Second // beyond the time for which questions are held
 	orderTime   = 10 * time.Second
 	compact     = 5000 // entries
 )
@@ -42,6 +44,7 @@
 	ended   chan struct{}
 	peers   map[uint64]*peer
 	http    *http.Client
+	encoded encoded
 }
 
 // peer is the way to one other coordinator.
@@ -290,6 +293,60 @@
 		})
 		return status, err
 	})
+	handle("POST "+rolloutlink.PathConfigPoll, rolloutlink.MostReport, pollTime, func(ctx context.Context, body []byte) (any, error) {
+		var poll distribution.Poll
+		if err := parse(body, &poll); err != nil {
+			return nil, err
+		}
+		var reply distribution.Reply
+		err := s.do(ctx, func(done func(error)) {
+			s.replica.Poll(s.now(), poll, func(r distribution.Reply, err error) { reply = r; done(err) })
+		})
+		if err != nil {
+			return nil, err
+		}
+		return s.encoded.reply(reply)
+	})
+	handle("POST "+rolloutlink.PathConfigOrder, rolloutlink.MostConfig, orderTime, func(ctx context.Context, body []byte) (any, error) {
+		var e distribution.Entry
+		if err := parse(body, &e); err != nil {
+			return nil, err
+		}
+		if err := e.CheckOrder(); err != nil {
+			return nil, err
+		}
+		var made uint64
+		err := s.do(ctx, func(done func(error)) {
+			s.replica.Configure(s.now(), e, func(err error) {
+				if c, failed := s.replica.Catalog(); failed == nil {
+					made, _ = c.Made(e.Request)
+				}
+				done(err)
+			})
+		})
+		s.log.Info("configuration", "by", e.By, "request", e.Request, "version", made, "error", err)
+		return rolloutlink.Ordered{Version: made}, err
+	})
+	handle("GET "+rolloutlink.PathConfig, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
+		var c rolloutlink.Config
+		err := s.do(ctx, func(done func(error)) {
+			catalog, err := s.replica.Catalog()
+			if err == nil {
+				c = rolloutlink.Config{State: distribution.State{Version: catalog.Version, Hash: catalog.Hash, Resources: catalog.Resources}, Oldest: catalog.Oldest()}
+			}
+			done(err)
+		})
+		return c, err
+	})
+	handle("GET "+rolloutlink.PathConfigStatus, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
+		var status distribution.Status
+		err := s.do(ctx, func(done func(error)) {
+			var err error
+			status, err = s.replica.ConfigStatus(s.now())
+			done(err)
+		})
+		return status, err
+	})
 	handle("POST "+rolloutlink.PathRaft, rolloutlink.MostRaft, callTime, func(ctx context.Context, body []byte) (any, error) {
 		var batch rolloutlink.Raft
 		if err := parse(body, &batch); err != nil {
@@ -328,7 +385,12 @@
 		}
 		out = f
 	}
-	b, err := json.Marshal(out)
+	b, made := out.(rawJSON)
+	if !made {
+		b, err = json.Marshal(out)
+	} else {
+		err = nil
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/rolloutlink/link.go
+++ b/internal/rolloutlink/link.go
@@ -1,5 +1,6 @@
-// Package rolloutlink is what agents, coordinators and the operators' command say to
-// each other: JSON over plain HTTP, bounded in size and time.
+// Package rolloutlink is what agents, ingresses that follow configuration, coordinators
+// and the operators' command say to each other: JSON over plain HTTP, bounded in size
+// and time.
 package rolloutlink
 
 import (
@@ -13,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"wickarch/distribution"
 	"wickarch/rollout"
 )
 
@@ -23,6 +25,11 @@
 	PathStatus  = "/v1/status"  // GET -> Status
 	PathReplace = "/v1/replace" // POST Replace -> {}
 	PathRaft    = "/v1/raft"    // POST Raft -> {}
+
+	PathConfig       = "/v1/config"        // GET -> Config
+	PathConfigOrder  = "/v1/config/order"  // POST distribution.Entry with a Request -> Ordered
+	PathConfigPoll   = "/v1/config/poll"   // POST distribution.Poll -> distribution.Reply, held while there is nothing new
+	PathConfigStatus = "/v1/config/status" // GET -> distribution.Status
 )
 
 // Bounds on what one call may hold, in bytes.
@@ -31,6 +38,7 @@
 	MostOrder  = 64 << 10
 	MostRaft   = 16 << 20
 	MostStatus = 64 << 20
+	MostConfig = 8 << 20
 )
 
 // Raft holds messages from one coordinator to another.
@@ -52,6 +60,17 @@
 	Coordinators map[uint64]string `json:"coordinators"`
 }
 
+// Config is the newest version of configuration, whole.
+type Config struct {
+	distribution.State
+	Oldest uint64 `json:"oldest"` // the oldest version that can be gone back to
+}
+
+// Ordered tells the version that an order of configuration made.
+type Ordered struct {
+	Version uint64 `json:"version"`
+}
+
 // Failure is the body of an answer that is none.
 type Failure struct {
 	Error  *rollout.Told `json:"error"`
