Check, push, show and take back configuration by the operators' command

Need: operators change plans, limits, services and routes of the whole fleet in one step.

A coordinator need not be named to check a file; otherwise a missing one ends with 2, as before.

--- a/cmd/wickarch-fleet/main.go
+++ b/cmd/wickarch-fleet/main.go
@@ -1,9 +1,9 @@
-// Command wickarch-fleet is what operators order rollouts and drains by.
+// Command wickarch-fleet is what operators order rollouts, drains and configuration by.
 //
 // Exit codes: 0 done as ordered; 1 something else went wrong; 2 the command line is
 // wrong; 3 the rollout stands halted; 4 it has gone back; 5 no coordinator or no
 // majority was reached; 6 it is not known whether the order was taken; 7 the order
-// was refused.
+// was refused; 8 a version of configuration is not in force everywhere in time.
 package main
 
 import (
@@ -42,7 +42,7 @@
 
 // fleet is what all commands share.
 type fleet struct {
-	Coordinators []string      `help:"Their addresses, host:port." env:"WICKARCH_COORDINATORS" required:"" placeholder:"ADDRESS"`
+	Coordinators []string      `help:"Their addresses, host:port." env:"WICKARCH_COORDINATORS" placeholder:"ADDRESS"`
 	Patience     time.Duration `help:"How long to try." default:"15s"`
 	JSON         bool          `name:"json" help:"Answer in JSON."`
 	By           string        `help:"Who orders; your login if left out."`
@@ -387,6 +387,7 @@
 			Resume resumeCommand `cmd:"" help:"Lift its halt."`
 			Back   backCommand   `cmd:"" help:"Go back to the version before."`
 		} `cmd:"" help:"Releases."`
+		Config      configCommand  `cmd:"" help:"Configuration of all ingresses."`
 		Status      statusCommand  `cmd:"" help:"Tell who is out, why, and what is waited for."`
 		Drain       drainCommand   `cmd:"" help:"Take a member out, when the budgets have room."`
 		Undrain     undrainCommand `cmd:"" help:"Bring a drained member back."`
@@ -397,13 +398,17 @@
 			Replace replaceCommand `cmd:"" help:"Put a new coordinator in the place of one that is gone for good."`
 		} `cmd:"" help:"Coordinators."`
 	}
-	k := kong.Parse(&line, kong.Name("wickarch-fleet"), kong.Description("Orders rollouts and drains of a fleet."), kong.UsageOnError(),
+	k := kong.Parse(&line, kong.Name("wickarch-fleet"), kong.Description("Orders rollouts, drains and configuration of a fleet."), kong.UsageOnError(),
 		kong.Exit(func(code int) {
 			if code != 0 {
 				code = 2
 			}
 			os.Exit(code)
 		}))
+	if len(line.Coordinators) == 0 && !strings.HasPrefix(k.Command(), "config check") {
+		k.Errorf("missing flags: --coordinators=ADDRESS,... (or WICKARCH_COORDINATORS)")
+		os.Exit(2)
+	}
 	line.fleet.http = rolloutlink.NewHTTP(12 * time.Second)
 	if err := k.Run(&line.fleet); err != nil {
 		os.Exit(end(&line.fleet, err))
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -68,6 +68,30 @@
 	f.faults = append(f.faults, fault{line, fmt.Errorf("%d: %s: %s", line, key, what)})
 }
 
+// Lines tells where each table begins and each of its keys stands, by "table" and
+// "table.key", in one pass: for files of thousands of tables.
+func (f *File) Lines() map[string]int {
+	lines, at := map[string]int{}, ""
+	for i, l := range strings.Split(f.text, "\n") {
+		l = strings.TrimSpace(l)
+		key := at
+		if strings.HasPrefix(l, "[") {
+			at = strings.Trim(strings.TrimSpace(strings.SplitN(l, "#", 2)[0]), "[] ")
+			key = strings.ReplaceAll(at, `"`, "")
+			at = key
+		} else if name, _, is := strings.Cut(l, "="); is && !strings.HasPrefix(l, "#") {
+			key = strings.Trim(strings.TrimSpace(name), `"`)
+			if at != "" {
+				key = at + "." + key
+			}
+		}
+		if _, there := lines[key]; !there {
+			lines[key] = i + 1
+		}
+	}
+	return lines
+}
+
 // Faults lists the faults in the order of their lines; nil for none.
 func (f *File) Faults() (all []error) {
 	slices.SortStableFunc(f.faults, func(a, b fault) int { return a.line - b.line })
