Follow configuration in an ingress, and decide by it from one request to the next

Need: a version is in force when the ingress decides by it, whole or not at all.

-follow FILE (deploy/follower.toml) starts a follower beside the ingress: it asks the coordinators by the decisions of package distribution, keeps the last version in one bbolt file with checksums, and hands it to the reactor's goroutine, which changes the gateway's plans and limits between two requests. At the start what was kept is in force before the first client; a file that is damaged is put aside.

Off without -follow, as in the platform's run line.

--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -1,7 +1,8 @@
 // Command wickarch is one ingress: it takes requests of clients over RESP,
 // decides with package choice and passes them on to backends. It is configured
 // by the file that NODE_CONFIG names, and with -config by a file of our own for
-// what the platform does not tell (deploy/wickarch.toml).
+// what the platform does not tell (deploy/wickarch.toml). With -follow (deploy/follower.toml)
+// it follows the configuration that coordinators give out.
 package main
 
 import (
@@ -16,6 +17,7 @@
 	"time"
 
 	"wickarch/internal/config"
+	"wickarch/internal/follower"
 	"wickarch/internal/ingress"
 )
 
@@ -28,7 +30,8 @@
 
 func run() error {
 	file := flag.String("config", "", "a file such as deploy/wickarch.toml, for what the platform's configuration does not tell")
-	check := flag.Bool("check", false, "check that file, print every fault with its line, and end")
+	follow := flag.String("follow", "", "a file such as deploy/follower.toml, to follow the configuration that coordinators give out")
+	check := flag.Bool("check", false, "check these files, print every fault with its line, and end")
 	flag.Parse()
 	var own config.Own
 	if *file != "" {
@@ -37,9 +40,16 @@
 			return err
 		}
 	}
+	var followed follower.Config
+	if *follow != "" {
+		var err error
+		if followed, err = follower.LoadConfig(*follow); err != nil {
+			return err
+		}
+	}
 	if *check {
-		if *file == "" {
-			return errors.New("-check needs -config FILE")
+		if *file == "" && *follow == "" {
+			return errors.New("-check needs -config FILE or -follow FILE")
 		}
 		return nil
 	}
@@ -60,6 +70,10 @@
 	if err != nil {
 		return err
 	}
+	if *follow != "" {
+		f := follower.New(followed, srv.Ingress, slog.Default())
+		srv.Beside(func(ctx context.Context) { f.Run(ctx, ingress.Configurable{Server: srv}) })
+	}
 	slog.Info("serving", "name", cfg.Name, "address", srv.Addr())
 	go func() {
 		for range reload {
--- /dev/null
+++ b/internal/follower/config.go
@@ -0,0 +1,71 @@
+package follower
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"wickarch/distribution"
+	"wickarch/internal/tomlfile"
+)
+
+// Config is a follower's file (deploy/follower.toml).
+type Config struct {
+	Name         string   `toml:"name"`
+	Region       string   `toml:"region"`
+	Coordinators []string `toml:"coordinators"`
+	Dir          string   `toml:"dir"`
+	PatienceMS   int      `toml:"patience_ms"`
+}
+
+// Patience is how long a question may be out: longer than the coordinators hold it.
+func (c Config) Patience() time.Duration {
+	if c.PatienceMS == 0 {
+		return distribution.DefaultPatience
+	}
+	return time.Duration(c.PatienceMS) * time.Millisecond
+}
+
+// LoadConfig reads a file and finds all its faults, each with its line.
+func LoadConfig(path string) (Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, faults := ParseConfig(string(data))
+	for i, f := range faults {
+		faults[i] = fmt.Errorf("%s:%w", path, f)
+	}
+	return c, errors.Join(faults...)
+}
+
+// ParseConfig reads the text of a file; each fault begins with its line.
+func ParseConfig(text string) (c Config, faults []error) {
+	file, faults := tomlfile.Decode(text, &c)
+	if file == nil {
+		return c, faults
+	}
+	if n := len(c.Name); n < 1 || n > 64 {
+		file.Fault("name", "1 to 64 characters, and new for each ingress of the fleet")
+	}
+	if len(c.Region) > 64 {
+		file.Fault("region", "64 characters at most")
+	}
+	if c.Dir == "" {
+		file.Fault("dir", "a folder that keeps what is written through restarts")
+	}
+	if n := len(c.Coordinators); n < 1 || n > 16 {
+		file.Fault("coordinators", "the addresses of all of them")
+	}
+	for _, a := range c.Coordinators {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			file.Fault("coordinators", "host:port each, not %q", a)
+		}
+	}
+	if c.PatienceMS < 0 || c.Patience() <= distribution.DefaultTiming().Hold {
+		file.Fault("patience_ms", "above the %v for which a question is held", distribution.DefaultTiming().Hold)
+	}
+	return c, file.Faults()
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,177 @@
+// Package follower runs distribution.Follower in an ingress: the way to the coordinators,
+// a folder on disk, a clock. All decisions are in distribution; here one goroutine owns them.
+package follower
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"wickarch/distribution"
+	"wickarch/internal/rolloutlink"
+	"wickarch/rollout"
+)
+
+// alone is how long no coordinator has answered before the log tells.
+const alone = 3 * time.Second
+
+// Ingress is what decides by configuration.
+type Ingress interface {
+	// CheckConfig tells why resources that are new or have changed can't be used, as a
+	// *distribution.Refused where it is for one of them. It has no effects.
+	CheckConfig(changed []distribution.Resource) error
+	// Configure decides by it from when it returns. It has been checked. The error, if there
+	// is one all the same, is told; what was in force stays.
+	Configure(*distribution.InUse) error
+}
+
+// Follower is one.
+type Follower struct {
+	cfg     Config
+	log     *slog.Logger
+	ingress Ingress
+	decides *distribution.Follower
+	store   *store
+	http    *http.Client
+	began   time.Time
+	mail    chan func()
+	lost    bool // no coordinator answers, as last told
+}
+
+// New reads what is kept, has the ingress, which does not run yet, decide by it, and returns
+// before any coordinator was asked. What is wrong with the folder is told in the log, and to the coordinators.
+func New(cfg Config, ingress Ingress, log *slog.Logger) *Follower {
+	return NewWith(cfg, ingress, log, rolloutlink.NewHTTP(cfg.Patience()))
+}
+
+// NewWith is New with a client of the caller's own.
+func NewWith(cfg Config, ingress Ingress, log *slog.Logger, client *http.Client) *Follower {
+	f := &Follower{cfg: cfg, log: log.With("follower", cfg.Name), ingress: ingress, http: client, began: time.Now(), mail: make(chan func(), 1)}
+	store, kept, err := openStore(cfg.Dir)
+	if err != nil {
+		f.tell("nothing is read of what was kept", err)
+	}
+	f.store = store
+	life := uint64(f.began.UnixNano())
+	decides := distribution.FollowerConfig{Name: cfg.Name, Region: cfg.Region, Life: life, Coordinators: len(cfg.Coordinators),
+		Patience: cfg.Patience(), Check: ingress.CheckConfig}
+	if f.decides, err = distribution.NewFollower(decides, kept, life, 0); err != nil {
+		f.tell("what was kept is not used", err)
+	}
+	if u := f.decides.InUse(); u.Version > 0 {
+		if err := ingress.Configure(u); err != nil {
+			f.tell("what was kept is not used", err)
+			f.decides, _ = distribution.NewFollower(decides, nil, life, 0) // with nothing kept there is nothing to refuse
+		} else {
+			f.log.Info("configured by what was kept", "in_force", u.Describe())
+		}
+	}
+	return f
+}
+
+func (f *Follower) tell(what string, err error) {
+	args := []any{"error", err}
+	var fault distribution.Fault
+	if errors.As(err, &fault) {
+		args = append(args, "remedy", fault.Remedy())
+	}
+	f.log.Warn(what, args...)
+}
+
+func (f *Follower) now() time.Duration { return time.Since(f.began) }
+
+// Run follows until ctx ends, for the ingress as it runs.
+func (f *Follower) Run(ctx context.Context, ingress Ingress) {
+	f.ingress = ingress
+	defer f.store.close()
+	defer f.http.CloseIdleConnections()
+	for {
+		var due <-chan time.Time
+		var timer *time.Timer
+		if at, any := f.decides.Next(); any {
+			timer = time.NewTimer(at - f.now())
+			due = timer.C
+		}
+		select {
+		case <-ctx.Done():
+		case take := <-f.mail:
+			take()
+		case <-due:
+			if ask := f.decides.Tick(f.now()); ask != nil {
+				go f.ask(ctx, *ask)
+			}
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if silent := f.now() - f.decides.Heard(); silent > alone && !f.lost {
+			f.lost = true
+			u := f.decides.InUse()
+			f.log.Warn("no coordinator answers, and what is in force stays", "in_force", u.Describe(), "since", f.began.Add(f.decides.Heard()))
+		}
+	}
+}
+
+// ask carries one question, and hands what comes of it to the follower's goroutine.
+func (f *Follower) ask(ctx context.Context, ask distribution.Ask) {
+	call, cancel := context.WithTimeout(ctx, f.cfg.Patience())
+	defer cancel()
+	var reply distribution.Reply
+	leader, err := rolloutlink.Call(call, f.http, http.MethodPost, f.cfg.Coordinators[ask.Coordinator], rolloutlink.PathConfigPoll, ask.Poll, &reply, rolloutlink.MostConfig)
+	take := func() { f.replied(ask, reply) }
+	if err != nil {
+		take = func() { f.failed(ask, leader, err) }
+	}
+	select {
+	case f.mail <- take:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) failed(ask distribution.Ask, leader string, err error) {
+	var told *rollout.Told
+	if errors.As(err, &told) && told.Kind != "NotLeader" {
+		f.log.Warn("a coordinator does not answer the question", "coordinator", f.cfg.Coordinators[ask.Coordinator], "error", err, "remedy", told.Remedy())
+	}
+	f.decides.Failed(f.now(), ask.Poll.Number, slices.Index(f.cfg.Coordinators, leader))
+}
+
+func (f *Follower) replied(ask distribution.Ask, reply distribution.Reply) {
+	before := f.decides.InUse()
+	was := before.Version
+	save, err := f.decides.Replied(f.now(), ask.Poll.Number, reply)
+	if f.lost && f.decides.Heard() > f.now()-alone {
+		f.lost = false
+		f.log.Info("a coordinator answers again", "newest", reply.Newest)
+	}
+	if err != nil {
+		f.tell("a version is not taken", err)
+		return
+	}
+	if save == nil {
+		return
+	}
+	kept := f.store.save(save)
+	if kept != nil {
+		f.tell("what is in force is not kept", kept)
+	}
+	use := f.decides.Saved(f.now(), kept)
+	if use == nil {
+		return
+	}
+	if err := f.ingress.Configure(use); err != nil {
+		f.log.Error("a version that was checked can't be used", "version", use.Version, "error", err)
+		f.decides.Unusable(f.now(), err)
+		return
+	}
+	f.decides.Using(f.now())
+	if use.Version != was {
+		f.log.Info("in force", "version", use.Version, "before", was, "settled", use.Settled)
+	}
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,304 @@
+package follower
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wickarch/distribution"
+	"wickarch/internal/rolloutlink"
+)
+
+// patience bounds every wait of the tests; none of them passes by waiting.
+const patience = 30 * time.Second
+
+func plan(t *testing.T, name string, rate float64) distribution.Resource {
+	t.Helper()
+	data, err := distribution.Encode(distribution.Plan{Rate: rate, Burst: 10, Price: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return distribution.Resource{Key: distribution.KeyOf(distribution.KindPlan, name), Data: data, Line: 3}
+}
+
+func sum(list ...distribution.Resource) distribution.Hash {
+	set := distribution.Set{}
+	for _, r := range list {
+		set[r.Key] = r
+	}
+	return set.Sum()
+}
+
+// What is saved is read again, whole or not at all, and each damage is told and put aside.
+func TestStoreKeepsWholeVersions(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "new", "folder")
+	s, kept, err := openStore(dir)
+	if err != nil || kept != nil {
+		t.Fatal(kept, err)
+	}
+	a, b, c := plan(t, "a", 1), plan(t, "b", 2), plan(t, "c", 3)
+	old := []distribution.Old{{Key: a.Key, Data: b.Data}}
+	for _, what := range []*distribution.Save{
+		{Version: 1, Hash: sum(a, b), Set: []distribution.Resource{a, b}, Whole: true},
+		{Version: 2, Hash: sum(a, c), Set: []distribution.Resource{c}, Delete: []distribution.Key{b.Key}, Settled: 1, Before: old},
+	} {
+		if err := s.save(what); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := openStore(dir); !as[*FollowsAlready](err) {
+		t.Errorf("a folder that is held is opened: %v", err)
+	}
+	s.close()
+	s, kept, err = openStore(dir)
+	if err != nil || kept.Version != 2 || kept.Hash != sum(kept.Resources...) || kept.Hash != sum(a, c) || kept.Settled != 1 || len(kept.Before) != 1 || kept.Resources[0].Line != 3 {
+		t.Fatalf("%+v, %v", kept, err)
+	}
+	if err := s.save(&distribution.Save{Version: 3, Hash: sum(b), Set: []distribution.Resource{b}, Whole: true}); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	whole, err := os.ReadFile(s.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, damage := range map[string]func([]byte) []byte{
+		"a bit of a value":  func(b []byte) []byte { return bytes.ReplaceAll(b, []byte(`"burst"`), []byte(`"borst"`)) },
+		"a version's digit": func(b []byte) []byte { return bytes.ReplaceAll(b, []byte(`"version":3`), []byte(`"version":9`)) },
+		"no database":       func(b []byte) []byte { return []byte(strings.Repeat("not one", 4096)) },
+		"cut short":         func(b []byte) []byte { return b[:4096] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			spoilt := damage(bytes.Clone(whole))
+			if err := os.WriteFile(s.path, spoilt, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, kept, err := openStore(dir)
+			defer s.close()
+			if kept != nil || !as[*DiskDamaged](err) {
+				t.Fatalf("%+v, %v", kept, err)
+			}
+			if aside, err := os.ReadFile(s.path + ".damaged"); err != nil || !bytes.HasPrefix(aside, spoilt[:100]) {
+				t.Errorf("it is not put aside: %v", err)
+			}
+			if err := s.save(&distribution.Save{Version: 1, Hash: sum(a), Set: []distribution.Resource{a}, Whole: true}); err != nil {
+				t.Errorf("nothing can be kept behind it: %v", err)
+			}
+		})
+	}
+}
+
+func as[E error](err error) bool {
+	var e E
+	return errors.As(err, &e)
+}
+
+// A folder that can't be written is told at each version, and nothing else stops.
+func TestFolderThatCannotBeWrittenIsTold(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a file")
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, kept, err := openStore(path)
+	if kept != nil || !as[*DiskFailed](err) {
+		t.Fatalf("%+v, %v", kept, err)
+	}
+	if err := s.save(&distribution.Save{Version: 1, Whole: true}); !as[*DiskFailed](err) {
+		t.Errorf("%v", err)
+	}
+	s.close()
+}
+
+// script is a coordinator whose answers stand in a list; each question is told.
+type script struct {
+	*httptest.Server
+	asked chan distribution.Poll
+	mu    sync.Mutex
+	next  []func(w http.ResponseWriter, q distribution.Poll)
+}
+
+func newScript(t *testing.T, next ...func(w http.ResponseWriter, q distribution.Poll)) *script {
+	s := &script{asked: make(chan distribution.Poll, 1000), next: next}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q distribution.Poll
+		if err := json.NewDecoder(r.Body).Decode(&q); err != nil || r.URL.Path != rolloutlink.PathConfigPoll {
+			t.Errorf("asked %s, %v", r.URL.Path, err)
+		}
+		s.mu.Lock()
+		do := s.next[0]
+		if len(s.next) > 1 {
+			s.next = s.next[1:]
+		}
+		s.mu.Unlock()
+		s.asked <- q
+		do(w, q)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func say(r distribution.Reply) func(http.ResponseWriter, distribution.Poll) {
+	return func(w http.ResponseWriter, _ distribution.Poll) { json.NewEncoder(w).Encode(r) }
+}
+
+// hold answers nothing until the question is given up.
+func hold(w http.ResponseWriter, _ distribution.Poll) { time.Sleep(20 * time.Millisecond) }
+
+// fake is an ingress.
+type fake struct {
+	mu      sync.Mutex
+	refuses string // a key
+	fails   bool
+	in      chan distribution.InUse
+}
+
+func (f *fake) CheckConfig(changed []distribution.Resource) error {
+	for _, r := range changed {
+		if string(r.Key) == f.refuses {
+			return &distribution.Refused{Key: r.Key, Why: "no"}
+		}
+	}
+	return nil
+}
+
+func (f *fake) Configure(u *distribution.InUse) error {
+	if f.fails {
+		return errors.New("it fails")
+	}
+	f.in <- *u
+	return nil
+}
+
+func follow(t *testing.T, dir string, in *fake, at ...string) (stop func()) {
+	t.Helper()
+	for i, a := range at {
+		at[i] = strings.TrimPrefix(a, "http://")
+	}
+	f := New(Config{Name: "n1", Region: "west", Coordinators: at, Dir: dir}, in, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { f.Run(ctx, in); close(ended) }()
+	stop = func() { cancel(); <-ended }
+	t.Cleanup(stop)
+	return stop
+}
+
+func take[T any](t *testing.T, what string, from chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+	}
+	return v
+}
+
+func until(t *testing.T, s *script, what string, is func(distribution.Poll) bool) distribution.Poll {
+	t.Helper()
+	for {
+		if q := take(t, what, s.asked); is(q) {
+			return q
+		}
+	}
+}
+
+// A version is kept, put in force, and told by the next question; what comes with it that
+// makes no sense is not taken, and a new process begins by what was kept.
+func TestFollowerTakesVersionsAndKeepsThem(t *testing.T) {
+	a, b := plan(t, "a", 1), plan(t, "b", 2)
+	first := distribution.Reply{State: &distribution.State{Version: 5, Hash: sum(a), Resources: []distribution.Resource{a}}, Settled: 4}
+	second := distribution.Reply{Difference: &distribution.Difference{Base: 5, BaseHash: sum(a), Version: 6, Hash: sum(a, b), Set: []distribution.Resource{b}}, Settled: 5}
+	wrong := distribution.Reply{Difference: &distribution.Difference{Base: 5, BaseHash: sum(a), Version: 6, Hash: sum(b), Set: []distribution.Resource{b}}}
+	old := distribution.Reply{State: &distribution.State{Version: 3, Hash: sum(b), Resources: []distribution.Resource{b}}}
+	s := newScript(t, say(first), func(w http.ResponseWriter, _ distribution.Poll) { fmt.Fprint(w, "{") }, say(old), say(wrong), say(second), hold)
+	dir := t.TempDir()
+	in := &fake{in: make(chan distribution.InUse, 100)}
+	stop := follow(t, dir, in, s.URL)
+	if u := take(t, "version 5", in.in); u.Version != 5 || u.Hash != sum(a) || u.Settled != 4 {
+		t.Errorf("%+v", u)
+	}
+	if u := take(t, "version 6", in.in); u.Version != 6 || len(u.Set) != 2 {
+		t.Errorf("%+v", u)
+	}
+	q := until(t, s, "a question with version 6", func(q distribution.Poll) bool { return q.Version == 6 })
+	if q.Hash != sum(a, b) || q.Follower != "n1" || q.Region != "west" || q.Disk != "" {
+		t.Errorf("%+v", q)
+	}
+	stop()
+
+	s = newScript(t, hold)
+	follow(t, dir, in, s.URL)
+	if u := take(t, "what was kept", in.in); u.Version != 6 || u.Hash != sum(a, b) {
+		t.Errorf("%+v", u)
+	}
+	if q := take(t, "a question", s.asked); q.Version != 6 || q.Number != 1 {
+		t.Errorf("%+v", q)
+	}
+}
+
+// One that the ingress can't use is told with resource and line, and what is in force stays.
+func TestRefusalIsTold(t *testing.T) {
+	a, b := plan(t, "a", 1), plan(t, "b", 2)
+	for _, in := range []*fake{{refuses: "plan/b"}, {fails: true}} {
+		in.in = make(chan distribution.InUse, 100)
+		s := newScript(t, say(distribution.Reply{State: &distribution.State{Version: 1, Hash: sum(a, b), Resources: []distribution.Resource{a, b}}}), hold)
+		follow(t, t.TempDir(), in, s.URL)
+		q := until(t, s, "a refusal", func(q distribution.Poll) bool { return q.Refused != nil })
+		if q.Version != 0 || q.Refused.Version != 1 || !in.fails && (q.Refused.Refused.Key != b.Key || q.Refused.Refused.Line != 3) {
+			t.Errorf("%+v", q)
+		}
+		if len(in.in) > 0 {
+			t.Error("it is in force")
+		}
+	}
+}
+
+// A coordinator that hangs, one that is gone and one that sends to the leader: the question
+// finds its way, and each is made once.
+func TestQuestionFindsTheLeader(t *testing.T) {
+	a := plan(t, "a", 1)
+	leader := newScript(t, say(distribution.Reply{State: &distribution.State{Version: 1, Hash: sum(a), Resources: []distribution.Resource{a}}}), hold)
+	release := make(chan struct{})
+	hangs := newScript(t, func(http.ResponseWriter, distribution.Poll) { <-release })
+	t.Cleanup(func() { close(release) }) // before hangs is closed, which waits for it
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	sends := newScript(t, func(w http.ResponseWriter, _ distribution.Poll) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		fmt.Fprintf(w, `{"error":{"kind":"NotLeader","text":"no","remedy":"ask the leader"},"leader":%q}`, strings.TrimPrefix(leader.URL, "http://"))
+	})
+	in := &fake{in: make(chan distribution.InUse, 100)}
+	follow(t, t.TempDir(), in, hangs.URL, gone.URL, sends.URL, leader.URL)
+	if u := take(t, "version 1", in.in); u.Version != 1 {
+		t.Errorf("%+v", u)
+	}
+}
+
+func TestConfigTellsFaultsWithTheirLines(t *testing.T) {
+	if c, err := LoadConfig("../../deploy/follower.toml"); err != nil || c.Name == "" || len(c.Coordinators) != 3 {
+		t.Errorf("the shipped file: %+v, %v", c, err)
+	}
+	for text, want := range map[string]string{
+		"name = \"\"\ndir = \"d\"\ncoordinators = [\"a:1\"]\n":                     "1: name",
+		"name = \"n\"\ndir = \"\"\ncoordinators = [\"a:1\"]\n":                     "2: dir",
+		"name = \"n\"\ndir = \"d\"\ncoordinators = [\"a\"]\n":                      "3: coordinators",
+		"name = \"n\"\ndir = \"d\"\ncoordinators = [\"a:1\"]\npatience_ms = 900\n": "4: patience_ms",
+		"name = \"n\"\ndir = \"d\"\ncoordinators = [\"a:1\"]\nnane = 1\n":          "4: nane",
+		"name = 3\n": "1: ",
+	} {
+		if _, faults := ParseConfig(text); len(faults) != 1 || !strings.HasPrefix(faults[0].Error(), want) {
+			t.Errorf("%q: %v, want %s", text, faults, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/follower/store.go
@@ -0,0 +1,205 @@
+package follower
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
+
+	"wickarch/distribution"
+)
+
+// store keeps what is in force in one bbolt file: each write is whole or not at all, and
+// synced before it returns. Each value stands behind its checksum (CRC-32C), and all
+// together are held against the version's hash when they are read. bbolt takes its older
+// head page where the newer one is damaged: then an older version is read, whole, and what
+// is newer is asked for.
+type store struct {
+	path string
+	db   *bbolt.DB // nil where the folder can't be used
+	why  error     // then
+}
+
+var (
+	bucketHead      = []byte("head")
+	bucketResources = []byte("resources")
+	keyHead         = []byte("head")
+	castagnoli      = crc32.MakeTable(crc32.Castagnoli)
+)
+
+const (
+	fileName = "config.db"
+	lockWait = 200 * time.Millisecond // for another process that holds the file
+	mostFile = 64 << 20               // bytes: a file that is larger is none of ours
+)
+
+// head is what is kept beside the resources.
+type head struct {
+	Version uint64             `json:"version"`
+	Hash    distribution.Hash  `json:"hash"`
+	Settled uint64             `json:"settled"`
+	Before  []distribution.Old `json:"before,omitempty"`
+}
+
+// openStore opens a folder and reads what it keeps, nil for nothing. With a store that can't
+// be used comes the reason; it works all the same and keeps nothing.
+func openStore(dir string) (s *store, kept *distribution.Kept, err error) {
+	s = &store{path: filepath.Join(dir, fileName)}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return s, nil, s.unusable(&DiskFailed{dir, err})
+	}
+	kept, err = s.open()
+	var damaged *DiskDamaged
+	if errors.As(err, &damaged) { // put aside, in place of one that was before
+		if moved := os.Rename(s.path, s.path+".damaged"); moved != nil {
+			return s, nil, s.unusable(&DiskFailed{s.path, moved})
+		}
+		if _, again := s.open(); again != nil {
+			err = s.unusable(again)
+		}
+		return s, nil, err
+	}
+	if err != nil {
+		return s, nil, s.unusable(err)
+	}
+	return s, kept, nil
+}
+
+func (s *store) unusable(why error) error {
+	s.why = why
+	if s.db != nil {
+		s.db.Close()
+		s.db = nil
+	}
+	return why
+}
+
+func (s *store) open() (kept *distribution.Kept, err error) {
+	defer func() {
+		if p := recover(); p != nil { // as bbolt does on pages that make no sense
+			err = &DiskDamaged{s.path, fmt.Sprint(p)}
+		}
+		if err != nil && s.db != nil {
+			s.db.Close()
+			s.db = nil
+		}
+	}()
+	// bbolt makes a file with four pages.
+	if info, err := os.Stat(s.path); err == nil && (info.Size() > mostFile || info.Size() > 0 && info.Size() < int64(4*os.Getpagesize())) {
+		return nil, &DiskDamaged{s.path, fmt.Sprintf("%d bytes", info.Size())}
+	}
+	s.db, err = bbolt.Open(s.path, 0o600, &bbolt.Options{Timeout: lockWait})
+	switch {
+	case errors.Is(err, bbolterrors.ErrTimeout):
+		return nil, &FollowsAlready{s.path}
+	case errors.Is(err, bbolterrors.ErrInvalid), errors.Is(err, bbolterrors.ErrChecksum), errors.Is(err, bbolterrors.ErrVersionMismatch):
+		return nil, &DiskDamaged{s.path, err.Error()}
+	case err != nil:
+		return nil, &DiskFailed{s.path, err}
+	}
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		at := tx.Bucket(bucketHead)
+		if at == nil {
+			return nil
+		}
+		var h head
+		if err := unseal(at.Get(keyHead), &h); err != nil {
+			return &DiskDamaged{s.path, err.Error()}
+		}
+		kept = &distribution.Kept{State: distribution.State{Version: h.Version, Hash: h.Hash}, Settled: h.Settled, Before: h.Before}
+		resources := tx.Bucket(bucketResources)
+		if resources == nil {
+			return &DiskDamaged{s.path, "no resources"}
+		}
+		return resources.ForEach(func(k, v []byte) error {
+			var r distribution.Resource
+			if err := unseal(v, &r); err != nil || string(r.Key) != string(k) {
+				return &DiskDamaged{s.path, fmt.Sprintf("resource %q: %v", k, err)}
+			}
+			kept.Resources = append(kept.Resources, r)
+			return nil
+		})
+	})
+	return kept, err
+}
+
+// save keeps one version in the place of the one before.
+func (s *store) save(what *distribution.Save) (err error) {
+	if s.db == nil {
+		return s.why
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			err = s.unusable(&DiskDamaged{s.path, fmt.Sprint(p)})
+		}
+	}()
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		if what.Whole && tx.Bucket(bucketResources) != nil {
+			if err := tx.DeleteBucket(bucketResources); err != nil {
+				return err
+			}
+		}
+		resources, err := tx.CreateBucketIfNotExists(bucketResources)
+		if err != nil {
+			return err
+		}
+		for _, k := range what.Delete {
+			if err := resources.Delete([]byte(k)); err != nil {
+				return err
+			}
+		}
+		for _, r := range what.Set {
+			v, err := seal(r)
+			if err != nil {
+				return err
+			}
+			if err := resources.Put([]byte(r.Key), v); err != nil {
+				return err
+			}
+		}
+		at, err := tx.CreateBucketIfNotExists(bucketHead)
+		if err != nil {
+			return err
+		}
+		v, err := seal(head{what.Version, what.Hash, what.Settled, what.Before})
+		if err != nil {
+			return err
+		}
+		return at.Put(keyHead, v)
+	})
+	if err != nil {
+		return &DiskFailed{s.path, err}
+	}
+	return nil
+}
+
+func (s *store) close() {
+	if s.db != nil {
+		s.db.Close()
+	}
+}
+
+// seal writes a value behind its checksum.
+func seal(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	return append(binary.BigEndian.AppendUint32(nil, crc32.Checksum(b, castagnoli)), b...), nil
+}
+
+var errChecksum = errors.New("the checksum is wrong")
+
+func unseal(b []byte, to any) error {
+	if len(b) < 4 || crc32.Checksum(b[4:], castagnoli) != binary.BigEndian.Uint32(b) {
+		return errChecksum
+	}
+	return json.Unmarshal(b[4:], to)
+}
--- a/internal/ingress/figures.go
+++ b/internal/ingress/figures.go
@@ -55,6 +55,10 @@
 	line("inflight", "", uint64(l.figures.open))
 	line("hosts_listed", "", uint64(l.pool.Listed()))
 	line("hosts_down", "", uint64(l.gateway.Avoided(l.Now())))
+	if t := l.terms; t != nil {
+		line("config_version", "", t.version)
+		line("config_settled", "", t.settled)
+	}
 	return b
 }
 
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -45,6 +45,7 @@
 	settling bool
 	figures  figures
 	spare    *alarm // of the gateway's timers, to be used again
+	terms    *terms // nil while no version of configuration was in force
 }
 
 // kind is how a request ends for its client.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -142,6 +142,7 @@
 
 	sources *sources
 	moves   chan string // addresses of discovery to move to
+	beside  []func(context.Context)
 }
 
 // Listen makes an ingress and opens its address.
@@ -190,6 +191,9 @@
 	failed := make(chan error, 1)
 	empty := s.front.empty
 	go func() { failed <- s.loop.Run() }()
+	for _, run := range s.beside {
+		go run(ctx)
+	}
 	defer s.world.Close()
 	if s.claim != nil {
 		defer s.claim.Close()
--- a/rollout/faults_test.go
+++ b/rollout/faults_test.go
@@ -9,22 +9,46 @@
 	"strings"
 	"testing"
 
+	"wickarch/distribution"
 	"wickarch/internal/agent"
 	"wickarch/internal/coordinator"
+	"wickarch/internal/follower"
 	"wickarch/internal/rolloutlink"
 	"wickarch/rollout"
 	"wickarch/rollout/replica"
 )
 
-// Every error type of the packages on rollouts says what an operator can do, stands in
-// the operators' page, and is in its package's list.
+// faults are a package's errors, as interfaces that are alike make them.
+func faults[F rollout.Fault](list []F) (all []rollout.Fault) {
+	for _, f := range list {
+		all = append(all, f)
+	}
+	return all
+}
+
+// Every error type of the packages on rollouts and on configuration says what an operator can do,
+// stands in the operators' page of its subject, and is in its package's list.
 func TestEveryErrorHasARemedy(t *testing.T) {
-	page, err := os.ReadFile("../docs/operate/rollouts.md")
+	for _, subject := range []struct {
+		page   string
+		faults [][]rollout.Fault
+		dirs   []string
+	}{
+		{"rollouts", [][]rollout.Fault{rollout.Faults(), replica.Faults(), coordinator.Faults(), agent.Faults(), rolloutlink.Faults()},
+			[]string{".", "replica", "../internal/coordinator", "../internal/agent", "../internal/rolloutlink"}},
+		{"distribution", [][]rollout.Fault{faults(distribution.Faults()), faults(follower.Faults())}, []string{"../distribution", "../internal/follower"}},
+	} {
+		t.Run(subject.page, func(t *testing.T) { remedies(t, subject.page, subject.faults, subject.dirs) })
+	}
+}
+
+func remedies(t *testing.T, name string, faults [][]rollout.Fault, dirs []string) {
+	page, err := os.ReadFile("../docs/operate/" + name + ".md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	listed := map[string]bool{"Told": true} // one that has crossed a link: it carries the other's words
-	for _, list := range [][]rollout.Fault{rollout.Faults(), replica.Faults(), coordinator.Faults(), agent.Faults(), rolloutlink.Faults()} {
+	for _, list := range faults {
 		for _, f := range list {
 			told := rollout.Tell(f)
 			listed[told.Kind] = true
@@ -36,7 +60,7 @@
 			}
 		}
 	}
-	for _, dir := range []string{".", "replica", "../internal/coordinator", "../internal/agent", "../internal/rolloutlink"} {
+	for _, dir := range dirs {
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatal(dir, err)
