--- a/internal/fleetproc/fleet.go
+++ b/internal/fleetproc/fleet.go
@@ -44,6 +44,7 @@
 	Config
 	Coordinators []*Process
 	Agents       []*Process // of the ingresses, then of the backends
+	Programs     []*Process // ingresses that no agent starts
 	Front        *standin.Front
 	Effects      standin.Effects
 	Backends     []*Backend
@@ -58,6 +59,7 @@
 	done     chan standin.FrontTally
 	mu       sync.Mutex
 	killed   bool
+	siege    *Siege
 }
 
 // Process is one of the fleet's own that can be killed, paused and started again.
@@ -92,6 +94,16 @@
 	return nil
 }
 
+// PID is its number; 0 before it was started.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -137,8 +149,7 @@
 
 // Start starts a fleet and waits until all of it serves.
 func Start(cfg Config) (*Fleet, error) {
-	f := &Fleet{Config: cfg, registry: standin.NewRegistry(), http: rolloutlink.NewHTTP(3 * time.Second), done: make(chan standin.FrontTally, 1)}
-	f.control = httptest.NewServer(http.HandlerFunc(f.hook))
+	f := newFleet(cfg)
 	if err := f.build(); err != nil {
 		f.Stop()
 		return nil, err
@@ -146,7 +157,49 @@
 	return f, nil
 }
 
+func newFleet(cfg Config) *Fleet {
+	f := &Fleet{Config: cfg, registry: standin.NewRegistry(), http: rolloutlink.NewHTTP(3 * time.Second), done: make(chan standin.FrontTally, 1)}
+	f.control = httptest.NewServer(http.HandlerFunc(f.hook))
+	return f
+}
+
 func (f *Fleet) build() error {
+	if err := f.startBackends(); err != nil {
+		return err
+	}
+	if err := f.startCoordinators(); err != nil {
+		return err
+	}
+	f.Front = &standin.Front{PerSecond: f.PerSecond, Payments: f.Payments, Deadline: 3 * time.Second, Effects: &f.Effects}
+	for i := range f.Ingresses {
+		if err := f.ingress(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.Config.Backends {
+		b := f.Backends[i]
+		text := f.agentFile(b.Name, "backend", i, "v1") + "[hooks]\n"
+		for _, name := range []string{"drain", "stop", "start", "ready"} {
+			text += fmt.Sprintf("%s = [%q, \"hook\", %q]\n", name, f.bin("rollouts"), f.control.URL+"/"+name+"/"+b.Name)
+		}
+		if err := f.agent(b.Name, text, nil); err != nil {
+			return err
+		}
+	}
+	f.run()
+	return f.Wait(time.Minute, "all serve", func(s rolloutlink.Status) bool {
+		in := 0
+		for _, m := range s.Members {
+			if m.Out == "" {
+				in++
+			}
+		}
+		return in == f.Ingresses+f.Config.Backends && f.Front.Out() == 0
+	})
+}
+
+// startBackends starts the stand-in backends.
+func (f *Fleet) startBackends() error {
 	for i := range f.Config.Backends {
 		b := &Backend{Name: fmt.Sprint("b", i), fleet: f}
 		f.Backends = append(f.Backends, b)
@@ -154,6 +207,11 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// startCoordinators starts the coordinators, each with a link of its own to each other.
+func (f *Fleet) startCoordinators() error {
 	for range f.Config.Coordinators {
 		a, err := standin.Reserve()
 		if err != nil {
@@ -192,34 +250,7 @@
 		}
 		f.Coordinators = append(f.Coordinators, p)
 	}
-	f.Front = &standin.Front{PerSecond: f.PerSecond, Payments: f.Payments, Deadline: 3 * time.Second, Effects: &f.Effects}
-	for i := range f.Ingresses {
-		if err := f.ingress(i); err != nil {
-			return err
-		}
-	}
-	for i := range f.Config.Backends {
-		b := f.Backends[i]
-		text := f.agentFile(b.Name, "backend", i, "v1") + "[hooks]\n"
-		for _, name := range []string{"drain", "stop", "start", "ready"} {
-			text += fmt.Sprintf("%s = [%q, \"hook\", %q]\n", name, f.bin("rollouts"), f.control.URL+"/"+name+"/"+b.Name)
-		}
-		if err := f.agent(b.Name, text, nil); err != nil {
-			return err
-		}
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	f.stop = stop
-	go func() { f.done <- f.Front.Run(ctx) }()
-	return f.Wait(time.Minute, "all serve", func(s rolloutlink.Status) bool {
-		in := 0
-		for _, m := range s.Members {
-			if m.Out == "" {
-				in++
-			}
-		}
-		return in == f.Ingresses+f.Config.Backends && f.Front.Out() == 0
-	})
+	return nil
 }
 
 func (f *Fleet) bin(name string) string { return filepath.Join(f.Bin, name) }
@@ -252,27 +283,33 @@
 	return p.Start()
 }
 
-// ingress configures an ingress and starts its agent, which starts it.
-func (f *Fleet) ingress(i int) error {
-	name := fmt.Sprint("n", i)
+// node configures an ingress, and returns the environment that it is started with and its
+// second address.
+func (f *Fleet) node(i int) (env []string, admin string, err error) {
 	listen, err := standin.Reserve()
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	admin, err := standin.Reserve()
-	if err != nil {
-		return err
+	if admin, err = standin.Reserve(); err != nil {
+		return nil, "", err
 	}
 	f.Front.Addrs = append(f.Front.Addrs, listen)
 	settings := strings.Replace(fmt.Sprintf(standin.Settings, 60_000, 1e6, 1e6), `"balancers":1,"self_index":0`, fmt.Sprintf(`"balancers":%d,"self_index":%d`, f.Ingresses, i), 1)
-	node := standin.Node{Name: name, Listen: listen, Discovery: f.registry.Addr(), Seed: fmt.Sprintf("%x", i+1), Limits: standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 512},
+	node := standin.Node{Name: fmt.Sprint("n", i), Listen: listen, Discovery: f.registry.Addr(), Seed: fmt.Sprintf("%x", i+1), Limits: standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 512},
 		Settings: json.RawMessage(settings)}
 	path, err := node.Write(f.Dir)
+	return []string{"NODE_CONFIG=" + path, "NODE_MGMT=" + admin}, admin, err
+}
+
+// ingress configures an ingress and starts its agent, which starts it.
+func (f *Fleet) ingress(i int) error {
+	name := fmt.Sprint("n", i)
+	env, admin, err := f.node(i)
 	if err != nil {
 		return err
 	}
 	program, faulty := f.bin("wickarch"), f.bin("rollouts")
-	text := f.agentFile(name, "ingress", i, "v1") + "[program]\n" + fmt.Sprintf("admin = %q\nenv = [%q, %q]\n", admin, "NODE_CONFIG="+path, "NODE_MGMT="+admin) +
+	text := f.agentFile(name, "ingress", i, "v1") + "[program]\n" + fmt.Sprintf("admin = %q\nenv = [%q, %q]\n", admin, env[0], env[1]) +
 		fmt.Sprintf("[versions]\nv1 = [%q]\nv2 = [%q]\n", program, program)
 	for _, how := range []string{"crash", "refuse", "slow"} {
 		text += fmt.Sprintf("%s = [%q, \"faulty\", %q, \"--how\", %q]\n", how, faulty, program, how)
@@ -341,6 +378,13 @@
 
 // KillIngress kills an ingress as by kill -9, and tells whether there was one.
 func (f *Fleet) KillIngress(i int) bool {
+	if i < len(f.Programs) {
+		f.mu.Lock()
+		f.killed = true
+		f.mu.Unlock()
+		f.Programs[i].Kill()
+		return true
+	}
 	b, err := os.ReadFile(filepath.Join(f.Dir, fmt.Sprint("n", i), "program.json"))
 	var p struct{ PID int }
 	if err != nil || json.Unmarshal(b, &p) != nil || p.PID <= 0 {
@@ -385,7 +429,7 @@
 		f.stop()
 		t = <-f.done
 	}
-	for _, p := range f.Agents {
+	for _, p := range append(f.Agents, f.Programs...) {
 		p.Kill()
 	}
 	for i := range f.Ingresses {
@@ -452,6 +496,12 @@
 			b.late++
 		}
 		b.mu.Unlock()
+		if len(r.Args) > 1 && r.Args[1] == fmt.Sprintf("%016x", siegeCustomer) {
+			b.fleet.mu.Lock()
+			siege := b.fleet.siege
+			b.fleet.mu.Unlock()
+			siege.reached()
+		}
 		work(r)
 	})
 	if err != nil {
