Give out the last version that was not halted, where two are halted in a row

A change on top of a halted version that does not mend it is halted as well.

Catalog.Fallback is new; Past has Halted; the rest of the API is as it was.

--- a/distribution/cases_test.go
+++ b/distribution/cases_test.go
@@ -626,6 +626,43 @@
 	}
 }
 
+// A change on top of a halted version that does not mend it is halted as well; then the last one
+// that was in force is given out, and not the first halted one (found by internal/distsim).
+func TestHaltOnTopOfAHalt(t *testing.T) {
+	g := newRig(t)
+	p := g.publisher(0, "a")
+	g.push(1)
+	g.must(Entry{Settle: 1})
+	for v := uint64(2); v <= 4; v++ {
+		g.push(float64(v))
+		g.must(Entry{Settle: v}) // those that have begun are the only ones that live
+		g.must(Entry{Halt: &Halted{Version: v, Follower: "b"}})
+		if p.target() != 1 || g.c.Settled != 1 {
+			t.Fatalf("version %d is given out, %d has settled", p.target(), g.c.Settled)
+		}
+	}
+	f := g.follower("a", nil)
+	if exchange(t, f, p, 0); f.InUse().Version != 1 || g.c.Verify() != nil {
+		t.Fatalf("version %d, %v", f.InUse().Version, g.c.Verify())
+	}
+	// However much comes before and after it, the way back stays.
+	g.push(5)
+	for range 3 * mostPast {
+		g.must(Entry{Settle: g.c.Version})
+		g.push(g.c.Set().rate() + 1)
+	}
+	g.must(Entry{Settle: g.c.Version})
+	g.must(Entry{Halt: &Halted{Version: g.c.Version}})
+	if p.target() != g.c.Version-1 || g.c.Verify() != nil || p.state().Version != g.c.Version-1 {
+		t.Errorf("%d of %d is given out", p.target(), g.c.Version)
+	}
+}
+
+func (s Set) rate() float64 {
+	p, _ := s[KeyOf(KindPlan, "gold")].Plan()
+	return p.CeilingRate
+}
+
 func TestSettleWaitsForAllThatLive(t *testing.T) {
 	g := newRig(t)
 	p := g.publisher(0, "a", "b")
--- a/distribution/catalog.go
+++ b/distribution/catalog.go
@@ -31,6 +31,7 @@
 	Hash    Hash   `json:"hash"`
 	Prior   Hash   `json:"prior"` // of the version before
 	By      string `json:"by,omitempty"`
+	Halted  bool   `json:"halted,omitempty"`
 	Before  []Old  `json:"before"` // in the order of their keys
 }
 
@@ -163,6 +164,18 @@
 	return c.Past[0].Version - 1
 }
 
+// Fallback is the newest version before the newest one that was not halted: what is given out
+// while the newest one is.
+func (c *Catalog) Fallback() uint64 {
+	oldest, v := c.Oldest(), c.Version
+	for v > oldest {
+		if v--; v == oldest || !c.Past[v-oldest-1].Halted {
+			break
+		}
+	}
+	return v
+}
+
 // hashAt is the hash of a version; false if that is not kept.
 func (c *Catalog) hashAt(v uint64) (Hash, bool) {
 	switch {
@@ -304,11 +317,12 @@
 	case e.Halt != nil:
 		if e.Halt.Version == c.Version && c.Version > 0 && c.Halt == nil {
 			c.Halt = e.Halt
-			// Whoever comes from now on decides by the one before, and ceilings are held so.
-			c.Settled = min(c.Settled, c.Version-1)
+			c.Past[len(c.Past)-1].Halted = true
+			// Whoever comes from now on decides by an earlier one, and ceilings are held so.
+			c.Settled = min(c.Settled, c.Fallback())
 		}
 	case e.Settle > 0:
-		if e.Settle > c.Settled && e.Settle <= c.Version && (c.Halt == nil || e.Settle < c.Halt.Version) {
+		if e.Settle > c.Settled && e.Settle <= c.Version && (c.Halt == nil || e.Settle <= c.Fallback()) {
 			c.Settled = e.Settle
 			c.trim()
 		}
@@ -397,15 +411,20 @@
 	return n
 }
 
-// trim drops the oldest versions beyond the bounds, but none after the settled one:
-// what was before those must be known while somebody may decide by it. The newest
-// stays in any case, as a way back.
+// trim drops the oldest versions beyond the bounds, but none after the settled one: what was
+// before those must be known while somebody may decide by it. The way back from a halt of
+// the newest one stays in any case, and the oldest one is none that was halted.
 func (c *Catalog) trim() {
-	bytes := c.pastBytes()
-	for len(c.Past) > 1 && c.Past[0].Version <= c.Settled && (len(c.Past) > mostPast || bytes > mostPastBytes) {
-		bytes -= c.Past[0].size()
-		c.Past = slices.Delete(c.Past, 0, 1)
+	bytes, drop, until := c.pastBytes(), 0, min(c.Settled, c.Fallback())
+	for i, p := range c.Past {
+		if p.Version > until || len(c.Past)-i <= mostPast && bytes <= mostPastBytes {
+			break
+		}
+		if bytes -= p.size(); !p.Halted {
+			drop = i + 1
+		}
 	}
+	c.Past = slices.Delete(c.Past, 0, drop)
 }
 
 // Verify tells whether a catalog that was kept is whole.
--- a/distribution/publisher.go
+++ b/distribution/publisher.go
@@ -154,10 +154,11 @@
 	return news{c.Version, c.Settled, c.Halt != nil, p.confirmed(), len(c.Followers)}
 }
 
-// target is the version that is given out: the newest, or the one before while that is halted.
+// target is the version that is given out: the newest, or while that is halted the newest one
+// before it that was not.
 func (p *Publisher) target() uint64 {
-	if h := p.catalog.Halt; h != nil && h.Version == p.catalog.Version {
-		return h.Version - 1
+	if p.catalog.Halt != nil {
+		return p.catalog.Fallback()
 	}
 	return p.catalog.Version
 }
@@ -266,7 +267,7 @@
 	if p.whole == nil || p.whole.Version != target {
 		set, err := p.catalog.At(target)
 		if err != nil {
-			panic(err) // it is the newest or the one before, which are kept always
+			panic(err) // it is the newest or the way back from it, which are kept always
 		}
 		hash, _ := p.catalog.hashAt(target)
 		p.whole = &State{target, hash, set.List()}
