Expect no version in force at one that refuses it; check what operators are told

What it refuses is compared with the world's own truth. Two checks more: none decides by what it can't use; an operator whose change is in the log is not told that it is not.

--- a/internal/distsim/follower.go
+++ b/internal/distsim/follower.go
@@ -151,6 +151,7 @@
 		save, err := f.f.Replied(f.now(), number, r)
 		if err != nil {
 			f.w.Report.NotTaken++
+			f.w.note("%s does not take a reply: %v", f.name, err)
 		}
 		if save == nil {
 			return
@@ -242,6 +243,9 @@
 		w.fault("%s has version %d as settled, and the log %d", f.name, u.Settled, w.mostSettled)
 		return
 	}
+	if f.refuses && w.versions[u.Version].bad {
+		w.fault("%s decides by version %d, and can't", f.name, u.Version)
+	}
 	f.ceilings = [plans]float64{}
 	if u.Version == 0 {
 		return
--- a/internal/distsim/scenario.go
+++ b/internal/distsim/scenario.go
@@ -147,6 +147,9 @@
 					if err == nil && w.requests[e.Request] != 1 {
 						w.fault("%s was told that %s is done, and it made %d versions", e.By, e.Request, w.requests[e.Request])
 					}
+					if err != nil && w.requests[e.Request] != 0 {
+						w.fault("%s was told of %s that it is not done (%v), and it is", e.By, e.Request, err)
+					}
 				})
 			})
 		}
