Show that a version is decided by from the next request, and what can't be used is named

Plans of a version take the place of the platform's and give way again, limits bind where they are lower, a raised ceiling waits while a lower one may be decided by elsewhere; a route of an unknown class and a rate below 0 change nothing.

--- /dev/null
+++ b/internal/ingress/terms_test.go
@@ -0,0 +1,117 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"wickarch/distribution"
+	"wickarch/internal/standin"
+)
+
+// version makes a version of configuration from values by their keys.
+func version(t *testing.T, number uint64, values map[distribution.Key]any, before ...distribution.Old) *distribution.InUse {
+	t.Helper()
+	u := &distribution.InUse{Version: number, Settled: number - 1, Set: distribution.Set{}, Before: map[distribution.Key][]byte{}}
+	for k, v := range values {
+		data, err := distribution.Encode(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		u.Set[k] = distribution.Resource{Key: k, Data: data, Line: 7}
+	}
+	for _, o := range before {
+		u.Before[o.Key] = o.Data
+	}
+	return u
+}
+
+// A version that names plans names all of them, for the requests that come after it; one that
+// names none leaves the platform's; limits bind where they are the lower ones.
+func TestVersionIsDecidedByFromTheNextRequest(t *testing.T) {
+	b, err := standin.NewBackend(func(r standin.Received) { r.Answer("v") })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	r := newRig(t, nil, Member{ID: "b", HostPort: b.Addr, Phase: PhaseServing, Size: 1})
+	in := Configurable{r.server}
+	c := r.dial()
+	try := func(plan string) string {
+		t.Helper()
+		c.send("Q.ASK", "0000000000000001", standin.NewID(), fmt.Sprintf("c=lookup,t=%s,d=3000,units=1,spread=1,first=0", plan))
+		return c.line()
+	}
+	put := func(u *distribution.InUse) {
+		t.Helper()
+		if err := in.Configure(u); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const served, unknown = "$1\r\nv", "-ERR unknown plan"
+	want := func(plan, answer string) {
+		t.Helper()
+		if got := try(plan); got != answer {
+			t.Errorf("a request under %s is answered %q, want %q", plan, got, answer)
+		}
+	}
+	want("basic", served)
+	want("gold", unknown)
+	gold := distribution.Plan{Price: 2}
+	put(version(t, 1, map[distribution.Key]any{"plan/gold": gold, "limit/attempts": distribution.Limit{Value: 1}, "limit/retry_after_ms": distribution.Limit{Value: 1e9}}))
+	want("gold", served)
+	want("basic", unknown)
+	r.ask(func(l *loop) {
+		if l.cfg.Choice.MaxUnits != l.terms.base.MaxUnits {
+			t.Error("a limit that is not named has changed")
+		}
+	})
+	put(version(t, 2, map[distribution.Key]any{"plan/gold": gold, "plan/basic": gold, "limit/units": distribution.Limit{Value: 0.5}}))
+	want("basic", "-ERR bad value of units")
+	put(version(t, 3, nil))
+	want("basic", served)
+	want("gold", unknown)
+	var text string
+	r.ask(func(l *loop) { text = string(r.server.AppendFigures(nil)) })
+	if !strings.Contains(text, "config_version=3\n") || !strings.Contains(text, "config_settled=2\n") {
+		t.Errorf("figures: %s", text)
+	}
+
+	// A new ceiling holds with that of a version that others may decide by.
+	low := distribution.Plan{Price: 1, CeilingRate: 1e-6, CeilingBurst: 1e-3}
+	high := distribution.Plan{Price: 1, CeilingRate: 1e6, CeilingBurst: 1e6}
+	data, err := distribution.Encode(low)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(version(t, 4, map[distribution.Key]any{"plan/capped": high}, distribution.Old{Key: "plan/capped", Data: data}))
+	if got := try("capped"); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("a raised ceiling that has not settled is answered %q", got)
+	}
+	put(version(t, 4, map[distribution.Key]any{"plan/capped": high}))
+	want("capped", served)
+}
+
+// What this ingress can't use is told with resource and line, and changes nothing.
+func TestResourceThatCannotBeUsedHereIsNamed(t *testing.T) {
+	r := newRig(t, nil, Member{ID: "b", HostPort: "127.0.0.1:1", Phase: PhaseServing, Size: 1})
+	good := version(t, 1, map[distribution.Key]any{"route/a": distribution.Route{Service: "s", Class: "lookup"}, "route/b": distribution.Route{Service: "s"}})
+	if err := r.server.CheckConfig(good.Set.List()); err != nil {
+		t.Error(err)
+	}
+	bad := version(t, 1, map[distribution.Key]any{"route/a": distribution.Route{Service: "s", Class: "nonesuch"}})
+	var refused *distribution.Refused
+	if err := r.server.CheckConfig(bad.Set.List()); !errors.As(err, &refused) || refused.Key != "route/a" || refused.Line != 7 {
+		t.Errorf("%v", err)
+	}
+	bad = version(t, 1, map[distribution.Key]any{"plan/a": distribution.Plan{Rate: -1}})
+	if err := (Configurable{r.server}).Configure(bad); err == nil {
+		t.Error("a rate below 0 is decided by")
+	}
+	r.ask(func(l *loop) {
+		if _, known := l.cfg.plans["a"]; known || l.terms.version != 0 {
+			t.Error("a version that can't be used has left something")
+		}
+	})
+}
