--- a/cmd/bench/capacity/coordinators.go
+++ b/cmd/bench/capacity/coordinators.go
@@ -129,7 +129,7 @@
 	Coordinators []string      `required:""`
 	Report       time.Duration `default:"1s"`
 
-	wire              wire
+	traffic           traffic
 	calls, unanswered atomic.Int64
 	late              atomic.Int64 // calls that took longer than Report
 }
@@ -147,7 +147,7 @@
 	}
 	fmt.Println("up")
 	for lines := bufio.NewScanner(os.Stdin); lines.Scan(); {
-		fmt.Println(a.calls.Load(), a.unanswered.Load(), a.late.Load(), a.wire.In.Load(), a.wire.Out.Load(), a.wire.Conns.Load())
+		fmt.Println(a.calls.Load(), a.unanswered.Load(), a.late.Load(), a.traffic.In.Load(), a.traffic.Out.Load(), a.traffic.Conns.Load())
 	}
 	cancel()
 	all.Wait()
@@ -169,8 +169,8 @@
 		if err != nil {
 			return nil, err
 		}
-		a.wire.Conns.Add(1)
-		return countedConn{c, &a.wire}, nil
+		a.traffic.Conns.Add(1)
+		return countedConn{c, &a.traffic}, nil
 	}
 	defer t.CloseIdleConnections()
 	mail := make(chan func(), 16)
--- a/cmd/bench/capacity/crowd.go
+++ b/cmd/bench/capacity/crowd.go
@@ -229,7 +229,7 @@
 	n := float64(m.count)
 	for _, p := range list {
 		t.AppendRow(table.Row{p.Name, p.Took.Round(time.Millisecond), p.Busy.Round(10 * time.Millisecond), number(float64(p.Tally.Lists) / n), number(float64(p.Tally.Watches) / n), number(float64(p.Tally.Objects) / n),
-			numberOf(float64(p.Tally.Out) / n), numberOf(float64(p.Tally.In) / n), number(ms(p.CPU) / n), number(mb(p.Tally.Out + p.Tally.In)), number(mb(p.Held))})
+			number(float64(p.Tally.Out) / n), number(float64(p.Tally.In) / n), number(ms(p.CPU) / n), number(mb(p.Tally.Out + p.Tally.In)), number(mb(p.Held))})
 	}
 	fmt.Println(t.RenderMarkdown())
 	return err
--- a/cmd/bench/capacity/discovery.go
+++ b/cmd/bench/capacity/discovery.go
@@ -23,8 +23,9 @@
 	Lists   atomic.Int64 // whole lists told
 	Watches atomic.Int64 // begun
 	Objects atomic.Int64 // told on watches, the first of each included
+	Beats   atomic.Int64 // empty lines
 	Down    atomic.Bool  // it answers nothing new, and watches are cut
-	Wire    wire
+	Wire    traffic
 
 	mu       sync.Mutex
 	first    int // revision below which no change is kept
@@ -35,15 +36,15 @@
 	changed  chan struct{}
 }
 
-// wire counts what passes connections, in bytes, as the stand-in sees it.
-type wire struct {
+// traffic counts what passes connections, in bytes, as the stand-in sees it.
+type traffic struct {
 	In, Out atomic.Int64
 	Conns   atomic.Int64 // opened
 }
 
 type countedConn struct {
 	net.Conn
-	w *wire
+	w *traffic
 }
 
 func (c countedConn) Read(b []byte) (int, error) {
@@ -60,7 +61,7 @@
 
 type countedListener struct {
 	net.Listener
-	w *wire
+	w *traffic
 }
 
 func (l countedListener) Accept() (net.Conn, error) {
@@ -209,6 +210,7 @@
 		case <-changed:
 			b, at, whole, changed = d.from(at)
 		case <-beat.C:
+			d.Beats.Add(1)
 			b, whole = []byte{'\n'}, false
 		}
 		if d.Down.Load() {
--- a/cmd/bench/capacity/fit.go
+++ b/cmd/bench/capacity/fit.go
@@ -93,20 +93,16 @@
 // Fits tells whether a line fits.
 func (s slope) Fits() bool { return s.Residual <= fits }
 
-// number words a value with three digits that count.
+// number words a value with three digits that count, and all of a whole number.
 func number(v float64) string {
-	if a := math.Abs(v); a != 0 && (a < 0.001 || a >= 1e7) {
+	a := math.Abs(v)
+	switch {
+	case a != 0 && (a < 0.001 || a >= 1e7):
 		return fmt.Sprintf("%.3g", v)
-	}
-	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.*f", max(0, min(6, 2-int(math.Floor(math.Log10(max(math.Abs(v), 1e-3)))))), v), "0"), ".")
-}
-
-// numberOf keeps the zeros of whole numbers.
-func numberOf(v float64) string {
-	if math.Abs(v) >= 100 && math.Abs(v) < 1e7 {
+	case a >= 100 || a == 0 || math.IsNaN(v):
 		return fmt.Sprintf("%.0f", v)
 	}
-	return number(v)
+	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.*f", 2-int(math.Floor(math.Log10(a))), v), "0"), ".")
 }
 
 // measured is what a sweep gave.
@@ -162,22 +158,22 @@
 		s := m.Slopes[name]
 		row := table.Row{name}
 		for _, p := range s.Points {
-			cell := numberOf(p.Median)
+			cell := number(p.Median)
 			if p.Least != p.Most {
-				cell += fmt.Sprintf(" (%s-%s)", numberOf(p.Least), numberOf(p.Most))
+				cell += fmt.Sprintf(" (%s-%s)", number(p.Least), number(p.Most))
 			}
 			row = append(row, cell)
 		}
 		power, line := "", "a line"
 		if !s.Fits() {
 			line = "no line"
-			power = numberOf(s.Power)
+			power = number(s.Power)
 		}
-		at := numberOf(s.AtTarget)
+		at := number(s.AtTarget)
 		if s.Extrapolated > 4 {
 			at += " (beyond a factor of 4)"
 		}
-		t.AppendRow(append(row, number(s.Per), number(s.Least)+" to "+number(s.Most), numberOf(s.At0),
+		t.AppendRow(append(row, number(s.Per), number(s.Least)+" to "+number(s.Most), number(s.At0),
 			fmt.Sprintf("%.0f%%, %s", 100*s.Residual, line), power, at))
 	}
 	return t.RenderMarkdown()
--- a/cmd/bench/capacity/latency.go
+++ b/cmd/bench/capacity/latency.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -63,15 +64,7 @@
 		return err
 	}
 	for _, state := range []string{"quiet", fmt.Sprintf("a change each %v", c.Every), fmt.Sprintf("%d members leave at once, and come back one after the other", n/zonesOfFleet)} {
-		h := hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)
-		took := make(chan time.Duration, 1<<16)
-		done := make(chan struct{})
-		go func() {
-			for d := range took {
-				h.RecordValue(d.Microseconds())
-			}
-			close(done)
-		}()
+		h := newLatencies()
 		churn, stopChurn := context.WithCancel(ctx)
 		switch {
 		case state == "quiet":
@@ -100,7 +93,7 @@
 				}
 			}()
 		}
-		l := &load{Addr: p.Addr, Conns: 128, PerSecond: c.PerSecond, Customer: warm.Customer, Done: func(d time.Duration) { took <- d }}
+		l := &load{Addr: p.Addr, Conns: 128, PerSecond: c.PerSecond, Customer: warm.Customer, Done: h.add}
 		u0, err := p.Usage()
 		if err != nil {
 			stopChurn()
@@ -108,8 +101,6 @@
 		}
 		err = l.Run(ctx, int64(c.Span.Seconds()*c.PerSecond))
 		stopChurn()
-		close(took)
-		<-done
 		if err != nil {
 			return err
 		}
@@ -121,9 +112,32 @@
 		for _, b := range running {
 			conns += b.Conns()
 		}
-		at := func(q float64) string { return number(float64(h.ValueAtQuantile(q)) / 1e3) }
-		t.AppendRow(table.Row{n, state, at(50), at(90), at(99), at(99.9), number(float64(h.Max()) / 1e3), l.Served.Load(),
+		at := func(q float64) string { return number(h.at(q)) }
+		t.AppendRow(table.Row{n, state, at(50), at(90), at(99), at(99.9), at(100), l.Served.Load(),
 			fmt.Sprintf("%d, %d", l.Refused.Load(), l.Failed.Load()), number(ms(u1.CPU-u0.CPU) / c.Span.Seconds()), number(mb(u1.Resident)), conns})
 	}
 	return p.Stop(10 * time.Second)
 }
+
+// latencies is a histogram to which many may add.
+type latencies struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newLatencies() *latencies {
+	return &latencies{h: hdrhistogram.New(1, int64(20*time.Second/time.Microsecond), 3)}
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.h.RecordValue(d.Microseconds())
+}
+
+// at is a percentile, in ms.
+func (l *latencies) at(q float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.h.ValueAtQuantile(q)) / 1e3
+}
--- a/cmd/bench/capacity/main.go
+++ b/cmd/bench/capacity/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -39,9 +40,14 @@
 
 func (s *slopes) sweeps(r roles) map[string]sweep {
 	return map[string]sweep{
-		"backends": {"one ingress of 480", "backends", []int{1250, 2500, 5000, 10000, 20000}, fleetBackends, r.byBackends},
-		"members":  {"three coordinators", "members", []int{293, 585, 1170, 2340, 4680}, fleetIngresses + fleetBackends, r.byMembers},
-		"tenants":  {"one ingress of 480, 64 MB", "tenants", []int{1250, 2500, 5000, 10000, 20000, 100000}, fleetTenants, r.byTenants},
+		"backends":    {"one ingress of 480", "backends", []int{1250, 2500, 5000, 10000, 20000}, fleetBackends, r.byBackends},
+		"ingresses":   {"one ingress, 4,200 backends", "ingresses of the fleet", []int{60, 120, 240, 480, 960}, fleetIngresses, r.byIngresses},
+		"tenants":     {"one ingress of 480, 64 MB", "tenants", []int{1250, 2500, 5000, 10000, 20000, 100000}, fleetTenants, r.byTenants},
+		"requests":    {"one ingress of 480, 4,200 backends", "requests a second", []int{31, 62, 123, 246, 492}, fleetRequests / fleetIngresses, r.byRequests},
+		"connections": {"one ingress of 480, 59 backends", "clients at rest", []int{62, 125, 250, 500, 1000}, 1000, r.byConnections},
+		"changes":     {"one ingress of 480 at 123 requests a second, 4,200 backends", "changed members in 10 s", []int{2, 5, 10, 20, 40}, 20, r.byChanges},
+		"members":     {"three coordinators", "members", []int{250, 500, 1000, 2000, 4000}, fleetIngresses + fleetBackends, r.byMembers},
+		"hollow":      {"discovery", "hollow ingresses with 59 backends", []int{60, 120, 240, 480, 1000}, fleetIngresses, r.byHollow},
 	}
 }
 
@@ -60,6 +66,7 @@
 		}
 		slices.Sort(names)
 	}
+	var faults []error
 	for _, name := range names {
 		sw, ok := all[name]
 		if !ok {
@@ -68,16 +75,19 @@
 		if len(s.Sizes) > 0 {
 			sw.Sizes = s.Sizes
 		}
+		begun := time.Now()
 		m, err := sw.measure(s.Runs)
 		if err != nil {
-			return err
+			faults = append(faults, err)
+			fmt.Printf("%s: %v\n\n", name, err)
+			continue
 		}
-		fmt.Printf("%s: %d runs\n\n%s\n\n", name, s.Runs, m.table())
+		fmt.Printf("%s: %d runs, %v\n\n%s\n\n", name, s.Runs, time.Since(begun).Round(time.Second), m.table())
 		if s.Plots != "" {
 			if err := m.draw(s.Plots); err != nil {
 				return err
 			}
 		}
 	}
-	return nil
+	return errors.Join(faults...)
 }
