--- a/cmd/bench/capacity/discovery.go
+++ b/cmd/bench/capacity/discovery.go
@@ -34,6 +34,7 @@
 	whole    []byte
 	log      [][]byte // one object for each revision from first+1 on
 	changed  chan struct{}
+	gone     chan struct{} // closed by Stop
 }
 
 // traffic counts what passes connections, in bytes, as the stand-in sees it.
@@ -106,7 +107,7 @@
 }
 
 func newDiscovery(list []standin.Member) *discovery {
-	d := &discovery{first: 1, revision: 1, members: list, changed: make(chan struct{})}
+	d := &discovery{first: 1, revision: 1, members: list, changed: make(chan struct{}), gone: make(chan struct{})}
 	d.whole = line(object{1, true, list})
 	d.Server = httptest.NewUnstartedServer(http.HandlerFunc(d.serve))
 	d.Listener = countedListener{d.Listener, &d.Wire}
@@ -207,6 +208,8 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-d.gone: // an ingress that still runs has come back between the two steps of Stop
+			panic(http.ErrAbortHandler)
 		case <-changed:
 			b, at, whole, changed = d.from(at)
 		case <-beat.C:
@@ -224,6 +227,8 @@
 
 // Stop ends it and its connections.
 func (d *discovery) Stop() {
+	d.Down.Store(true)
+	close(d.gone)
 	d.CloseClientConnections()
 	d.Close()
 }
