Hold crowds to our own bound on cold backends as well as to the users'

The count by the users' page (N + 2 x root of N, whoever sent it) took the place of one of our own that was tighter for most sizes: what told ingresses alone send, against N + 4. Both are held now, the second in crowds, where it stood; nothing that was checked is dropped.

--- a/internal/simulate/cold.go
+++ b/internal/simulate/cold.go
@@ -34,13 +34,17 @@
 	arrivals []arrival
 }
 
+// ownSlack is the bound of our own: told ingresses alone send no more than what the settings allow and so many
+// requests of mean work, for chance. It is tighter than the users' bound where N is above 4, and held in crowds.
+const ownSlack = 4
+
 // mostCold is how many requests of mean work a backend bears within the window: N + 2 x root of N, N being
-// what the settings allow it at its age.
-func (r *run) mostCold(age time.Duration) float64 {
+// what the settings allow it at its age. own is the bound of our own.
+func (r *run) mostCold(age time.Duration) (most, own float64) {
 	rule := r.ColdRule
 	warmth := rule.From + (1-rule.From)*age.Seconds()/r.cold().Seconds()
 	n := rule.Multiple * warmth * r.Cores * rule.For.Seconds() / meanService.Seconds()
-	return n + 2*math.Sqrt(n)
+	return n + 2*math.Sqrt(n), n + ownSlack
 }
 
 // count counts work that has come to a backend, whoever sent it. A cold one that gets more than it bears falls
@@ -72,7 +76,11 @@
 			known += a.work
 		}
 	}
-	most := r.mostCold(age)
+	most, own := r.mostCold(age)
+	if known > own && r.Burst == 0 {
+		r.fault("%s, up for %v, is sent %.1f requests of mean work within %v by ingresses told of its start, and our own bound is %.1f",
+			b.name, age, known, r.ColdRule.For, own)
+	}
 	if known > toldShare*sum {
 		r.report.Coldest = max(r.report.Coldest, sum/most)
 	}
