--- a/cmd/wickarch/replace_test.go
+++ b/cmd/wickarch/replace_test.go
@@ -40,6 +40,28 @@
 	judge()
 }
 
+// A start that fails leaves the shared socket blocking (os/exec hands it over so), and
+// nobody sets that right. Clients that come then, and no other behind them, are served.
+func TestStartThatFailsHoldsUpNobody(t *testing.T) {
+	s := around(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384})
+	s.hold()
+	shared := t.TempDir()
+	env := []string{"NODE_PASSED_SOCKET=3", "TMPDIR=" + shared}
+	s.begin(nil, env...)
+	if p, err := s.node.Start(t.Context(), []string{os.Args[0], "-config", shared}, s.dir, append(env, asProgram+"=1")...); err == nil {
+		p.Cmd.Process.Kill()
+		t.Fatal("a start that fails was expected")
+	}
+	for range 3 {
+		if got := s.asked(s.dial()); got != standin.Served {
+			t.Fatalf("a request ends as %v", got)
+		}
+	}
+	if err := s.Stop(patience); err != nil {
+		t.Error(err)
+	}
+}
+
 // A process that is stopped (SIGSTOP) keeps the right to take clients; killed, it
 // gives it up at once, and who waited meanwhile is served by the next one.
 func TestStoppedProcessGivesUpItsClientsWhenKilled(t *testing.T) {
