Load the files of ingress, follower, agent and coordinator in one place

Four functions read a file, parsed it and put its name before each fault, in the same twelve lines. tomlfile.Load does it once. A move; the tests of the four files pass unchanged.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,10 +1,7 @@
 package agent
 
 import (
-	"errors"
-	"fmt"
 	"net"
-	"os"
 	"time"
 
 	"wickarch/internal/tomlfile"
@@ -84,16 +81,9 @@
 
 // LoadConfig reads a file and finds all its faults, each with its line.
 func LoadConfig(path string) (Config, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, fmt.Errorf("configuration: %w", err)
-	}
-	c, faults := ParseConfig(string(data))
-	for i, f := range faults {
-		faults[i] = fmt.Errorf("%s:%w", path, f)
-	}
+	c, err := tomlfile.Load(path, ParseConfig)
 	c.path = path
-	return c, errors.Join(faults...)
+	return c, err
 }
 
 // ParseConfig reads the text of a file; each fault begins with its line.
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -4,9 +4,6 @@
 package config
 
 import (
-	"errors"
-	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -71,15 +68,7 @@
 
 // Load reads and checks a file. The error holds every fault, each with its line.
 func Load(path string) (Own, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Own{}, fmt.Errorf("configuration: %w", err)
-	}
-	own, faults := Parse(string(data))
-	for i, f := range faults {
-		faults[i] = fmt.Errorf("%s:%w", path, f)
-	}
-	return own, errors.Join(faults...)
+	return tomlfile.Load(path, Parse)
 }
 
 // Parse reads and checks the text of a file, and returns all its faults in the
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -2,10 +2,7 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"net"
-	"os"
 	"slices"
 	"time"
 
@@ -60,15 +57,7 @@
 
 // LoadConfig reads a file and finds all its faults, each with its line.
 func LoadConfig(path string) (Config, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, fmt.Errorf("configuration: %w", err)
-	}
-	c, faults := ParseConfig(string(data))
-	for i, f := range faults {
-		faults[i] = fmt.Errorf("%s:%w", path, f)
-	}
-	return c, errors.Join(faults...)
+	return tomlfile.Load(path, ParseConfig)
 }
 
 // ParseConfig reads the text of a file; each fault begins with its line.
--- a/internal/follower/config.go
+++ b/internal/follower/config.go
@@ -1,10 +1,7 @@
 package follower
 
 import (
-	"errors"
-	"fmt"
 	"net"
-	"os"
 	"time"
 
 	"wickarch/distribution"
@@ -30,15 +27,7 @@
 
 // LoadConfig reads a file and finds all its faults, each with its line.
 func LoadConfig(path string) (Config, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, fmt.Errorf("configuration: %w", err)
-	}
-	c, faults := ParseConfig(string(data))
-	for i, f := range faults {
-		faults[i] = fmt.Errorf("%s:%w", path, f)
-	}
-	return c, errors.Join(faults...)
+	return tomlfile.Load(path, ParseConfig)
 }
 
 // ParseConfig reads the text of a file; each fault begins with its line.
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 
@@ -42,6 +43,19 @@
 	return f, nil
 }
 
+// Load reads a file by its parser, and finds all its faults, each with its line.
+func Load[C any](path string, parse func(text string) (C, []error)) (c C, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	c, faults := parse(string(data))
+	for i, f := range faults {
+		faults[i] = fmt.Errorf("%s:%w", path, f)
+	}
+	return c, errors.Join(faults...)
+}
+
 // First is the first key of a table that begins with one of the names, in their
 // order, or the table: a value that is wrong may follow from another, which the file
 // does hold.
