Expect the words with which a second route of the same match is refused

The check of routes says since its review which of two takes all of the same requests, whatever their order; the file's test expected the words before. It names resource, line and the whole sentence.

--- a/internal/configfile/configfile_test.go
+++ b/internal/configfile/configfile_test.go
@@ -42,7 +42,7 @@
 		"[limit]\n\nattempts = 9\n":        "limit/attempts (line 3): attempts are 1 to 4",
 		"[limit]\nspeed = 9\n":             "limit/speed (line 2): there is no such limit",
 		"[route.x]\nservice = \"y\"\n":     "route/x (line 1): there is no service",
-		"[service.s]\n[route.a]\nservice = \"s\"\nprefix = \"1\"\n[route.b]\nservice = \"s\"\nprefix = \"1\"\n": "route/b (line 5): route/a matches",
+		"[service.s]\n[route.a]\nservice = \"s\"\nprefix = \"1\"\n[route.b]\nservice = \"s\"\nprefix = \"1\"\n": "route/b (line 5): route/a takes all of the same requests",
 		"[plan.\"a b\"]\nprice = 1\n": "plan/a b (line 1): a name",
 		"= 1\n":                       "1: ",
 	} {
