Tell a follower's fault once until it changes; one timing for publisher and forgetting

Read once more: an ingress whose question is refused again and again (two under one name, a damaged answer) wrote a line for each, up to several a second. The same fault is told once until a version is in force; the test fails without the guard. Whether a follower may be forgotten went by the default lease, whatever the publisher's timing was.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -38,7 +38,8 @@
 	http    *http.Client
 	began   time.Time
 	mail    chan func()
-	lost    bool // no coordinator answers, as last told
+	lost    bool   // no coordinator answers, as last told
+	told    string // what was wrong, as last told: the same is told once until a version is in force
 }
 
 // New reads what is kept, has the ingress, which does not run yet, decide by it, and returns
@@ -72,7 +73,13 @@
 	return f
 }
 
+// tell tells in the log what is wrong, when it is not what was told last.
 func (f *Follower) tell(what string, err error) {
+	text := what + ": " + err.Error()
+	if text == f.told {
+		return
+	}
+	f.told = text
 	args := []any{"error", err}
 	var fault distribution.Fault
 	if errors.As(err, &fault) {
@@ -137,7 +144,7 @@
 func (f *Follower) failed(ask distribution.Ask, leader string, err error) {
 	var told *rollout.Told
 	if errors.As(err, &told) && told.Kind != "NotLeader" {
-		f.log.Warn("a coordinator does not answer the question", "coordinator", f.cfg.Coordinators[ask.Coordinator], "error", err, "remedy", told.Remedy())
+		f.tell("a coordinator does not answer the question", told)
 	}
 	f.decides.Failed(f.now(), ask.Poll.Number, slices.Index(f.cfg.Coordinators, leader))
 }
@@ -172,6 +179,7 @@
 	}
 	f.decides.Using(f.now())
 	if use.Version != was {
+		f.told = ""
 		f.log.Info("in force", "version", use.Version, "before", was, "settled", use.Settled)
 	}
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -185,7 +185,12 @@
 	for i, a := range at {
 		at[i] = strings.TrimPrefix(a, "http://")
 	}
-	f := New(Config{Name: "n1", Region: "west", Coordinators: at, Dir: dir}, in, slog.New(slog.DiscardHandler))
+	return followWith(t, dir, in, slog.DiscardHandler, at...)
+}
+
+func followWith(t *testing.T, dir string, in *fake, log slog.Handler, at ...string) (stop func()) {
+	t.Helper()
+	f := New(Config{Name: "n1", Region: "west", Coordinators: at, Dir: dir}, in, slog.New(log))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { f.Run(ctx, in); close(ended) }()
@@ -285,6 +290,23 @@
 	}
 }
 
+// What is wrong again and again stands in the log once, however often it is asked.
+func TestSameFaultIsToldOnce(t *testing.T) {
+	s := newScript(t, func(w http.ResponseWriter, _ distribution.Poll) {
+		w.WriteHeader(http.StatusConflict)
+		fmt.Fprint(w, `{"error":{"kind":"BadPoll","text":"a later one has come under this name","remedy":"give each a name of its own"}}`)
+	})
+	var log bytes.Buffer
+	stop := followWith(t, t.TempDir(), &fake{in: make(chan distribution.InUse, 100)}, slog.NewTextHandler(&log, nil), strings.TrimPrefix(s.URL, "http://"))
+	for range 5 {
+		take(t, "a question", s.asked)
+	}
+	stop()
+	if n := strings.Count(log.String(), "a later one has come"); n != 1 {
+		t.Errorf("it is told %d times: %s", n, log.String())
+	}
+}
+
 func TestConfigTellsFaultsWithTheirLines(t *testing.T) {
 	if c, err := LoadConfig("../../deploy/follower.toml"); err != nil || c.Name == "" || len(c.Coordinators) != 3 {
 		t.Errorf("the shipped file: %+v, %v", c, err)
--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -58,6 +58,14 @@
 // publishEvery is the time between two looks at whose question is due.
 const publishEvery = 50 * time.Millisecond
 
+// publish is the timing that the publisher goes by.
+func (c *Config) publish() distribution.Timing {
+	if c.Publish == (distribution.Timing{}) {
+		return distribution.DefaultTiming()
+	}
+	return c.Publish
+}
+
 const keepEntries = 100 // behind a snapshot, for those that are a little late
 
 // Founding is the disk of a new set of coordinators, by their numbers and addresses.
@@ -437,7 +445,7 @@
 			return &rollout.NotLeader{Leader: r.Leads()}
 		}
 		if e.Forget != "" {
-			if ago, ever := r.publisher.Heard(r.now, e.Forget); ever && ago < distribution.DefaultTiming().Lease {
+			if ago, ever := r.publisher.Heard(r.now, e.Forget); ever && ago < r.cfg.publish().Lease {
 				return &distribution.StillThere{Follower: e.Forget, Heard: ago}
 			}
 		}
@@ -617,11 +625,7 @@
 		// All of earlier terms has been applied: from here on this one decides.
 		r.term = e.GetTerm()
 		r.leader = rollout.NewLeader(r.cfg.Rollout, r.state, r.term, r.now)
-		timing := r.cfg.Publish
-		if timing == (distribution.Timing{}) {
-			timing = distribution.DefaultTiming()
-		}
-		r.publisher = distribution.NewPublisher(timing, r.catalog, r.now)
+		r.publisher = distribution.NewPublisher(r.cfg.publish(), r.catalog, r.now)
 		r.nextDecide, r.asked = r.now, r.now-r.cfg.Decide
 	}
 	switch e.GetType() {
