--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -5,31 +5,19 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"wickarch/internal/agent"
-	"wickarch/rollout"
+	"wickarch/internal/daemon"
 )
 
-type runCommand struct {
-	Config string `arg:"" help:"The configuration." type:"path"`
-}
+type runCommand struct{ daemon.ConfigFile }
 
 // Run runs an agent until SIGTERM. Its program goes on.
-func (c *runCommand) Run() error {
-	cfg, err := agent.LoadConfig(c.Config)
-	if err != nil {
-		return err
-	}
-	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("member", cfg.Name)
+func (c *runCommand) Run() error { return daemon.Run(c.Config, agent.LoadConfig, serve) }
+
+func serve(ctx context.Context, cfg agent.Config, log *slog.Logger) error {
+	log = log.With("member", cfg.Name)
 	a, err := agent.New(cfg, log)
 	if err != nil {
 		return err
@@ -39,9 +27,7 @@
 	return nil
 }
 
-type checkCommand struct {
-	Config string `arg:"" help:"The configuration." type:"path"`
-}
+type checkCommand struct{ daemon.ConfigFile }
 
 // Run checks a configuration.
 func (c *checkCommand) Run() error {
@@ -50,17 +36,9 @@
 }
 
 func main() {
-	var line struct {
+	var commands struct {
 		Run   runCommand   `cmd:"" help:"Run an agent."`
 		Check checkCommand `cmd:"" help:"Check a configuration, and tell every fault with its line."`
 	}
-	k := kong.Parse(&line, kong.Name("agent"), kong.Description("Watches one member of a fleet."), kong.UsageOnError())
-	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "agent:", err)
-		var f rollout.Fault
-		if errors.As(err, &f) {
-			fmt.Fprintln(os.Stderr, "what to do:", f.Remedy())
-		}
-		os.Exit(1)
-	}
+	daemon.Main("agent", "Watches one member of a fleet.", &commands)
 }
--- a/cmd/coordinator/main.go
+++ b/cmd/coordinator/main.go
@@ -7,22 +7,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
-	"fmt"
 	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"wickarch/internal/coordinator"
-	"wickarch/rollout"
+	"wickarch/internal/daemon"
 )
 
-type initCommand struct {
-	Config string `arg:"" help:"The configuration." type:"path"`
-}
+type initCommand struct{ daemon.ConfigFile }
 
 // Run makes the disk of a coordinator of a new set.
 func (c *initCommand) Run() error {
@@ -34,31 +25,25 @@
 }
 
 type runCommand struct {
-	Config string `arg:"" help:"The configuration." type:"path"`
-	Join   bool   `help:"On an empty folder, wait to be put in the place of another coordinator."`
+	daemon.ConfigFile
+	Join bool `help:"On an empty folder, wait to be put in the place of another coordinator."`
 }
 
 // Run runs a coordinator until SIGTERM.
-func (c *runCommand) Run() error {
-	cfg, err := coordinator.LoadConfig(c.Config)
-	if err != nil {
-		return err
-	}
-	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+func (c *runCommand) Run() error { return daemon.Run(c.Config, coordinator.LoadConfig, c.serve) }
+
+func (c *runCommand) serve(ctx context.Context, cfg coordinator.Config, log *slog.Logger) error {
 	var seed [8]byte
 	rand.Read(seed[:])
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	s, err := coordinator.Listen(cfg, c.Join, binary.BigEndian.Uint64(seed[:]), log)
+	server, err := coordinator.Listen(cfg, c.Join, binary.BigEndian.Uint64(seed[:]), log)
 	if err != nil {
 		return err
 	}
-	log.Info("serving", "coordinator", cfg.ID, "address", s.Addr())
-	return s.Serve(ctx)
+	log.Info("serving", "coordinator", cfg.ID, "address", server.Addr())
+	return server.Serve(ctx)
 }
 
-type checkCommand struct {
-	Config string `arg:"" help:"The configuration." type:"path"`
-}
+type checkCommand struct{ daemon.ConfigFile }
 
 // Run checks a configuration.
 func (c *checkCommand) Run() error {
@@ -67,18 +52,10 @@
 }
 
 func main() {
-	var line struct {
+	var commands struct {
 		Init  initCommand  `cmd:"" help:"Make the disk of a coordinator of a new set."`
 		Run   runCommand   `cmd:"" help:"Run a coordinator."`
 		Check checkCommand `cmd:"" help:"Check a configuration, and tell every fault with its line."`
 	}
-	k := kong.Parse(&line, kong.Name("coordinator"), kong.Description("Decides who of a fleet may go out of service."), kong.UsageOnError())
-	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "coordinator:", err)
-		var f rollout.Fault
-		if errors.As(err, &f) {
-			fmt.Fprintln(os.Stderr, "what to do:", f.Remedy())
-		}
-		os.Exit(1)
-	}
+	daemon.Main("coordinator", "Decides who of a fleet may go out of service.", &commands)
 }
