--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"net"
 	"time"
 
 	"wickarch/internal/tomlfile"
@@ -55,21 +54,15 @@
 	Tries   int `toml:"tries"`
 }
 
-func ms(n, usual int) time.Duration {
-	if n == 0 {
-		n = usual
-	}
-	return time.Duration(n) * time.Millisecond
-}
-
 // Decides is what the decisions go by.
 func (c Config) Decides() rollout.AgentConfig {
-	t := c.Times
+	t, ms := c.Times, tomlfile.Milliseconds
 	a := rollout.AgentConfig{
 		Member:       rollout.Member{Name: c.Name, Role: c.Role, Zone: c.Zone, Cell: c.Cell, Weight: c.Weight},
 		Coordinators: len(c.Coordinators), Version: c.Version,
-		Report: ms(t.Report, 1000), Begin: ms(t.Begin, 4000), Drain: ms(t.Drain, 5000), Stop: ms(t.Stop, 10_000), Start: ms(t.Start, 30_000),
-		Prove: ms(t.Prove, 10_000), Backoff: ms(t.Backoff, 1000), Tries: 3,
+		Report: ms(t.Report, time.Second), Begin: ms(t.Begin, 4*time.Second), Drain: ms(t.Drain, 5*time.Second),
+		Stop: ms(t.Stop, 10*time.Second), Start: ms(t.Start, 30*time.Second),
+		Prove: ms(t.Prove, 10*time.Second), Backoff: ms(t.Backoff, time.Second), Tries: 3,
 	}
 	if t.Tries > 0 {
 		a.Tries = t.Tries
@@ -77,7 +70,9 @@
 	return a
 }
 
-func (c Config) poll() time.Duration { return ms(c.Times.Poll, 250) }
+func (c Config) poll() time.Duration {
+	return tomlfile.Milliseconds(c.Times.Poll, 250*time.Millisecond)
+}
 
 // LoadConfig reads a file and finds all its faults, each with its line.
 func LoadConfig(path string) (Config, error) {
@@ -104,11 +99,7 @@
 	if len(c.Coordinators) == 0 {
 		file.Fault("coordinators", "the addresses of all of them")
 	}
-	for _, a := range c.Coordinators {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			file.Fault("coordinators", "host:port each, not %q", a)
-		}
-	}
+	file.Addresses("coordinators", c.Coordinators)
 	if len(c.Hooks.Start) == 0 {
 		if c.Program.Admin == "" {
 			file.Fault("program.admin", "the second address of the ingress, as its configuration names it (mgmt)")
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
-	"net"
 	"slices"
 	"time"
 
@@ -52,8 +50,13 @@
 	return d
 }
 
-func (t Times) tick() time.Duration   { return time.Duration(cmp.Or(t.Tick, 100)) * time.Millisecond }
-func (t Times) decide() time.Duration { return time.Duration(cmp.Or(t.Decide, 250)) * time.Millisecond }
+func (t Times) tick() time.Duration {
+	return tomlfile.Milliseconds(t.Tick, 100*time.Millisecond)
+}
+
+func (t Times) decide() time.Duration {
+	return tomlfile.Milliseconds(t.Decide, 250*time.Millisecond)
+}
 
 // LoadConfig reads a file and finds all its faults, each with its line.
 func LoadConfig(path string) (Config, error) {
@@ -69,7 +72,7 @@
 	if c.ID == 0 {
 		file.Fault("id", "a number from 1 on, new with each new disk")
 	}
-	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+	if !tomlfile.IsAddress(c.Listen) {
 		file.Fault("listen", "host:port, not %q", c.Listen)
 	}
 	if c.Dir == "" {
@@ -77,7 +80,7 @@
 	}
 	var ids []uint64
 	for i, p := range c.Peers {
-		if _, _, err := net.SplitHostPort(p.Address); err != nil || p.ID == 0 || slices.Contains(ids, p.ID) {
+		if !tomlfile.IsAddress(p.Address) || p.ID == 0 || slices.Contains(ids, p.ID) {
 			file.FaultAt("coordinator", i, "a number of its own from 1 on, and an address host:port; not %d, %q", p.ID, p.Address)
 		}
 		ids = append(ids, p.ID)
--- a/internal/follower/config.go
+++ b/internal/follower/config.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"net"
 	"time"
 
 	"wickarch/distribution"
@@ -19,10 +18,7 @@
 
 // Patience is how long a question may be out: longer than the coordinators hold it.
 func (c Config) Patience() time.Duration {
-	if c.PatienceMS == 0 {
-		return distribution.DefaultPatience
-	}
-	return time.Duration(c.PatienceMS) * time.Millisecond
+	return tomlfile.Milliseconds(c.PatienceMS, distribution.DefaultPatience)
 }
 
 // LoadConfig reads a file and finds all its faults, each with its line.
@@ -48,11 +44,7 @@
 	if n := len(c.Coordinators); n < 1 || n > 16 {
 		file.Fault("coordinators", "the addresses of all of them")
 	}
-	for _, a := range c.Coordinators {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			file.Fault("coordinators", "host:port each, not %q", a)
-		}
-	}
+	file.Addresses("coordinators", c.Coordinators)
 	if c.PatienceMS < 0 || c.Patience() <= distribution.DefaultTiming().Hold {
 		file.Fault("patience_ms", "above the %v for which a question is held", distribution.DefaultTiming().Hold)
 	}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -4,9 +4,11 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
 )
@@ -78,6 +80,29 @@
 	f.add(f.line(key, n), key, fmt.Sprintf(format, args...))
 }
 
+// Addresses notes each of a key's addresses that is not host:port.
+func (f *File) Addresses(key string, list []string) {
+	for _, address := range list {
+		if !IsAddress(address) {
+			f.Fault(key, "host:port each, not %q", address)
+		}
+	}
+}
+
+// IsAddress tells whether a text is host:port.
+func IsAddress(text string) bool {
+	_, _, err := net.SplitHostPort(text)
+	return err == nil
+}
+
+// Milliseconds is a value in milliseconds as a duration; 0 stands for the usual one.
+func Milliseconds(value int, usual time.Duration) time.Duration {
+	if value == 0 {
+		return usual
+	}
+	return time.Duration(value) * time.Millisecond
+}
+
 func (f *File) add(line int, key, what string) {
 	f.faults = append(f.faults, fault{line, fmt.Errorf("%d: %s: %s", line, key, what)})
 }
