Play fleetsim and distsim on the scheduler of internal/virtualtime

Each had its own event, heap, clock and counter.

Tests of the three packages pass, with -race as well.

--- a/internal/distsim/coordinator.go
+++ b/internal/distsim/coordinator.go
@@ -46,7 +46,7 @@
 	return c
 }
 
-func (c *coordinator) now() time.Duration { return time.Duration(float64(c.w.now) * c.rate) }
+func (c *coordinator) now() time.Duration { return time.Duration(float64(c.w.Now()) * c.rate) }
 
 func (c *coordinator) restless() { c.silent, c.patience = 0, election+c.w.rng.IntN(election) }
 
@@ -68,14 +68,14 @@
 		if c.life != life {
 			return
 		}
-		if c.w.now < c.until {
-			c.w.at(c.until, beat)
+		if c.w.Now() < c.until {
+			c.w.At(c.until, beat)
 			return
 		}
 		c.do(c.beat)
-		c.w.after(time.Duration(float64(tick)/c.rate), beat)
+		c.w.After(time.Duration(float64(tick)/c.rate), beat)
 	}
-	c.w.after(time.Duration(c.w.rng.Int64N(int64(tick))), beat)
+	c.w.After(time.Duration(c.w.rng.Int64N(int64(tick))), beat)
 }
 
 func (c *coordinator) kill() {
@@ -88,7 +88,7 @@
 	if c.node == nil {
 		return
 	}
-	if c.w.now < c.until {
+	if c.w.Now() < c.until {
 		if len(c.held) < 5000 {
 			c.held = append(c.held, f)
 		}
@@ -104,9 +104,9 @@
 	if c.node == nil {
 		return
 	}
-	c.until = c.w.now + d
+	c.until = c.w.Now() + d
 	life := c.life
-	c.w.at(c.until, func() {
+	c.w.At(c.until, func() {
 		if c.life != life {
 			return
 		}
--- a/internal/distsim/follower.go
+++ b/internal/distsim/follower.go
@@ -52,7 +52,7 @@
 }
 
 func (f *follower) end() end           { return end{f.region, 1000 + f.id} }
-func (f *follower) now() time.Duration { return time.Duration(float64(f.w.now) * f.rate) }
+func (f *follower) now() time.Duration { return time.Duration(float64(f.w.Now()) * f.rate) }
 
 func (f *follower) start() {
 	if f.f != nil {
@@ -110,11 +110,11 @@
 	}
 	f.wakes++ // what was planned before counts no more
 	n := f.wakes
-	f.w.at(max(f.w.now, f.until, time.Duration(float64(due)/f.rate)+time.Microsecond), func() {
+	f.w.At(max(f.w.Now(), f.until, time.Duration(float64(due)/f.rate)+time.Microsecond), func() {
 		if f.wakes != n || f.f == nil {
 			return
 		}
-		if f.w.now >= f.until {
+		if f.w.Now() >= f.until {
 			if a := f.f.Tick(f.now()); a != nil {
 				c, q := f.w.coordinators[a.Coordinator], a.Poll
 				f.w.Report.Polls++
@@ -130,8 +130,8 @@
 	if f.life != life || f.f == nil {
 		return
 	}
-	if f.w.now < f.until {
-		f.w.at(f.until, func() { f.told(life, do) })
+	if f.w.Now() < f.until {
+		f.w.At(f.until, func() { f.told(life, do) })
 		return
 	}
 	do()
@@ -158,16 +158,16 @@
 		if save == nil {
 			return
 		}
-		f.w.after(time.Duration((1+f.w.rng.ExpFloat64()*5)*float64(time.Millisecond)), func() {
+		f.w.After(time.Duration((1+f.w.rng.ExpFloat64()*5)*float64(time.Millisecond)), func() {
 			f.told(life, func() {
 				var err error
-				if f.w.now < f.full {
+				if f.w.Now() < f.full {
 					err, f.lost = errFull, true
 				} else {
 					f.keep(save)
 				}
 				u := f.f.Saved(f.now(), err)
-				f.w.after(time.Duration(f.w.rng.Int64N(int64(3*time.Millisecond))), func() {
+				f.w.After(time.Duration(f.w.rng.Int64N(int64(3*time.Millisecond))), func() {
 					f.told(life, func() {
 						f.use(u, save.Whole)
 						f.f.Using(f.now())
@@ -270,14 +270,14 @@
 
 // heardBy notes that who leads has heard it.
 func (f *follower) heardBy() {
-	if f.w.now-f.heard > lease {
+	if f.w.Now()-f.heard > lease {
 		f.mark = f.w.log.Version
 	}
-	f.heard = f.w.now
+	f.heard = f.w.Now()
 }
 
 // apart tells whether it is not counted: its lease ran out, or it began again by an older
 // disk, and it is not where the others are since.
 func (f *follower) apart() bool {
-	return f.f == nil || f.used == 0 || f.w.now-f.heard > lease || f.used < f.mark
+	return f.f == nil || f.used == 0 || f.w.Now()-f.heard > lease || f.used < f.mark
 }
--- a/internal/distsim/scenario.go
+++ b/internal/distsim/scenario.go
@@ -60,7 +60,7 @@
 
 // plan schedules faults and operators.
 func (w *World) plan() {
-	w.at(3*time.Second, func() {
+	w.At(3*time.Second, func() {
 		push := distribution.Push{}
 		for i := range plans {
 			push.Set = append(push.Set, w.ceiling(i))
@@ -69,15 +69,15 @@
 	})
 	for op := range 2 {
 		for range w.Changes {
-			w.at(w.between(5*time.Second, w.End-8*time.Second), func() { w.operate(fmt.Sprint("op", op)) })
+			w.At(w.between(5*time.Second, w.End-8*time.Second), func() { w.operate(fmt.Sprint("op", op)) })
 		}
 		// At once with the other.
-		w.at(20*time.Second, func() { w.operate(fmt.Sprint("op", op)) })
-		w.at(21*time.Second, func() { w.operate(fmt.Sprint("op", op)) })
+		w.At(20*time.Second, func() { w.operate(fmt.Sprint("op", op)) })
+		w.At(21*time.Second, func() { w.operate(fmt.Sprint("op", op)) })
 	}
 	if w.Faulty {
 		for range 3 + w.rng.IntN(7) {
-			w.at(w.between(4*time.Second, w.End-25*time.Second), w.trouble)
+			w.At(w.between(4*time.Second, w.End-25*time.Second), w.trouble)
 		}
 	}
 }
@@ -123,8 +123,7 @@
 // order sends an operator's request until it is decided, as the command does, and now and
 // then once more.
 func (w *World) order(e distribution.Entry) {
-	w.seq++
-	e.Request = fmt.Sprint("q", w.seq)
+	e.Request = fmt.Sprint("q", w.Sequence())
 	place := w.rng.IntN(len(w.coordinators))
 	told := false
 	var try func(n int)
@@ -155,9 +154,9 @@
 		}
 		send()
 		if w.rng.IntN(4) == 0 { // late, when it may have been answered
-			w.after(w.between(0, 5*time.Second), send)
+			w.After(w.between(0, 5*time.Second), send)
 		}
-		w.after(500*time.Millisecond, func() { try(n + 1) })
+		w.After(500*time.Millisecond, func() { try(n + 1) })
 	}
 	try(0)
 }
@@ -168,10 +167,10 @@
 	for i := range w.pending {
 		w.pending[i].disturbed = true
 	}
-	w.at(until, func() {
+	w.At(until, func() {
 		end()
 		w.active--
-		w.quiet = w.now
+		w.quiet = w.Now()
 		w.note("%d faults are on", w.active)
 	})
 }
@@ -185,7 +184,7 @@
 	if lead := w.leader(); lead != nil && (len(kind) > 6 && kind[:6] == "leader" || w.rng.IntN(3) == 0) {
 		c = lead
 	}
-	until := w.between(w.now+200*time.Millisecond, w.now+12*time.Second)
+	until := w.between(w.Now()+200*time.Millisecond, w.Now()+12*time.Second)
 	sever := func(cut func(from, to end) bool) {
 		w.cuts++
 		n := w.cuts
@@ -221,7 +220,7 @@
 	case "leader cut off from coordinators": // and its followers go on asking it
 		sever(func(from, to end) bool { return from.id < 1000 && to.id < 1000 && (is(from) || is(to)) })
 	case "leader pauses", "coordinator pauses":
-		c.pause(until - w.now)
+		c.pause(until - w.Now())
 		w.begins(until, func() {})
 	case "leader dies":
 		c.kill()
@@ -258,7 +257,7 @@
 				f.turn()
 			}
 			// At once again, or cold within a second before the fault counts as over.
-			w.at(w.between(max(w.now, until-time.Second), until), f.start)
+			w.At(w.between(max(w.Now(), until-time.Second), until), f.start)
 		}
 		w.begins(until, func() {})
 	case "disks full":
--- a/internal/distsim/world.go
+++ b/internal/distsim/world.go
@@ -7,7 +7,6 @@
 package distsim
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -17,30 +16,9 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 
 	"wickarch/distribution"
+	"wickarch/internal/virtualtime"
 )
 
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1].do = nil
-	*q = old[:len(old)-1]
-	return e
-}
-
 // end is one of a link: a coordinator by its number, or a follower from 1000 on.
 type end struct{ region, id int }
 
@@ -60,13 +38,14 @@
 	disturbed bool // by a fault since it was committed
 }
 
+// mostFaults is how many faults a run notes; it ends with the last of them.
+const mostFaults = 20
+
 // World is one run.
 type World struct {
 	Scenario
+	virtualtime.Scheduler
 	rng    *rand.Rand
-	now    time.Duration
-	seq    uint64
-	events queue
 	tell   func(time.Duration, string)
 	faults []string
 
@@ -98,13 +77,6 @@
 	Calm, After                                                                      []time.Duration // commit, or a fault's end, to in force at the last one
 }
 
-func (w *World) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{max(t, w.now), w.seq, do})
-}
-
-func (w *World) after(d time.Duration, do func()) { w.at(w.now+d, do) }
-
 func (w *World) must(err error) {
 	if err != nil {
 		panic(err) // of the model, and not of what it checks
@@ -112,8 +84,8 @@
 }
 
 func (w *World) fault(format string, args ...any) {
-	f := fmt.Sprintf("%9.3f s: ", w.now.Seconds()) + fmt.Sprintf(format, args...)
-	if len(w.faults) < 20 {
+	f := fmt.Sprintf("%9.3f s: ", w.Now().Seconds()) + fmt.Sprintf(format, args...)
+	if len(w.faults) < mostFaults {
 		w.faults = append(w.faults, f)
 	}
 	w.note("FAULT %s", f)
@@ -121,7 +93,7 @@
 
 func (w *World) note(format string, args ...any) {
 	if w.tell != nil {
-		w.tell(w.now, fmt.Sprintf(format, args...))
+		w.tell(w.Now(), fmt.Sprintf(format, args...))
 	}
 }
 
@@ -156,9 +128,9 @@
 		}
 	}
 	if w.loss > 0 && w.rng.IntN(20) == 0 { // again, and overtaken
-		w.after(w.between(d, 6*time.Second), arrive)
+		w.After(w.between(d, 6*time.Second), arrive)
 	}
-	w.after(d, arrive)
+	w.After(d, arrive)
 }
 
 // leader is who leads in the highest term; nil for nobody.
@@ -197,7 +169,7 @@
 		if w.requests[e.Request]++; w.requests[e.Request] > 1 {
 			w.fault("request %s counts twice", e.Request)
 		}
-		next := version{hash: w.log.Set().Sum(), at: w.now}
+		next := version{hash: w.log.Set().Sum(), at: w.Now()}
 		_, next.bad = w.log.Set()[bad]
 		for i := range plans {
 			p, err := w.log.Set()[planKey(i)].Plan()
@@ -205,12 +177,12 @@
 			next.ceilings[i] = p.CeilingRate
 		}
 		w.versions = append(w.versions, next)
-		w.pending = append(w.pending, pending{v, w.now, w.active > 0})
+		w.pending = append(w.pending, pending{v, w.Now(), w.active > 0})
 		w.Report.Versions++
 		w.note("version %d is committed, by %s", v, e.Request)
 	}
 	if w.log.Halt != nil && w.versions[w.log.Version].halted == 0 {
-		w.versions[w.log.Version].halted = w.now
+		w.versions[w.log.Version].halted = w.Now()
 		w.Report.Halts++
 		w.note("%v", w.log.Halt)
 		// It is not to be in force anywhere else.
@@ -239,7 +211,7 @@
 	if w.leader() != c {
 		slack = time.Duration(1.02 * float64(w.Timing.Fresh))
 	}
-	if h := w.versions[v].halted; h > 0 && w.now > h+slack && f.disk.kept() != nil && f.disk.version < v {
+	if h := w.versions[v].halted; h > 0 && w.Now() > h+slack && f.disk.kept() != nil && f.disk.version < v {
 		w.fault("%s is given version %d, which was halted at %.3f s", f.name, v, h.Seconds())
 	}
 }
@@ -291,7 +263,7 @@
 		least = min(least, f.used)
 	}
 	w.pending = slices.DeleteFunc(w.pending, func(p pending) bool {
-		took := w.now - max(p.since, w.quiet)
+		took := w.Now() - max(p.since, w.quiet)
 		if least < p.version {
 			if took > Within {
 				w.fault("version %d is not in force everywhere %v after its commit or the last fault's end: %s", p.version, took, w.behind(p.version))
@@ -335,20 +307,22 @@
 		c.start()
 	}
 	for _, f := range w.followers {
-		w.at(w.between(0, time.Second), f.start)
+		w.At(w.between(0, time.Second), f.start)
 	}
 	w.plan()
 	var sample func()
 	sample = func() {
 		w.reached()
-		w.after(tick, sample)
+		w.After(tick, sample)
 	}
 	sample()
-	for len(w.events) > 0 && w.events[0].at <= w.End && len(w.faults) < 20 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
+	for len(w.faults) < mostFaults {
+		event, more := w.Next(w.End)
+		if !more {
+			break
+		}
 		w.Report.Events++
-		e.do()
+		event.Do()
 	}
 	if w.Report.Versions < 3 {
 		w.fault("%d versions: too little to show anything", w.Report.Versions)
--- a/internal/fleetsim/disk.go
+++ b/internal/fleetsim/disk.go
@@ -46,7 +46,7 @@
 
 // Save keeps what a coordinator must not forget.
 func (d *disk) Save(state *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error {
-	if d.w.now < d.full {
+	if d.w.Now() < d.full {
 		return errFull
 	}
 	d.writes++
@@ -72,7 +72,7 @@
 
 // Compact keeps a snapshot in the place of entries.
 func (d *disk) Compact(snap *pb.Snapshot) error {
-	if d.w.now < d.full {
+	if d.w.Now() < d.full {
 		return errFull
 	}
 	d.writes++
--- a/internal/fleetsim/member.go
+++ b/internal/fleetsim/member.go
@@ -50,10 +50,10 @@
 // serves tells by the world's truth whether the member is in service and proven.
 func (m *member) serves() bool {
 	p := &m.prog
-	if !p.running || p.unready || p.standby || p.ends || m.w.now < p.readyAt {
+	if !p.running || p.unready || p.standby || p.ends || m.w.Now() < p.readyAt {
 		return false
 	}
-	return m.w.now-p.readyAt >= time.Duration(0.97*float64(m.cfg.Prove)) || p.was
+	return m.w.Now()-p.readyAt >= time.Duration(0.97*float64(m.cfg.Prove)) || p.was
 }
 
 // lostFor is for how long it has not served.
@@ -63,9 +63,9 @@
 		return 0
 	}
 	if m.prog.was {
-		m.prog.was, m.prog.lostFrom = false, m.w.now
+		m.prog.was, m.prog.lostFrom = false, m.w.Now()
 	}
-	return m.w.now - m.prog.lostFrom
+	return m.w.Now() - m.prog.lostFrom
 }
 
 // lapse notes that it may serve no longer, before something that ends it.
@@ -84,7 +84,7 @@
 }
 
 // now is the member's own clock.
-func (m *member) now() time.Duration { return m.clock.of(m.w.now) }
+func (m *member) now() time.Duration { return m.clock.of(m.w.Now()) }
 
 // startAgent starts the agent, beside a program that may run.
 func (m *member) startAgent() {
@@ -110,21 +110,21 @@
 		if m.life != life || m.agent == nil {
 			return
 		}
-		if m.w.now < m.until {
-			m.w.at(m.until, poll)
+		if m.w.Now() < m.until {
+			m.w.At(m.until, poll)
 			return
 		}
 		p := &m.prog
-		ready := p.running && !p.unready && !p.standby && m.w.now >= p.readyAt
+		ready := p.running && !p.unready && !p.standby && m.w.Now() >= p.readyAt
 		m.count()
 		f := rollout.Figures{Boot: p.boot, Open: p.open, Classes: map[string]rollout.Count{}}
 		for name, c := range p.classes {
 			f.Classes[name] = c
 		}
 		m.act(m.agent.Ready(m.now(), ready, f))
-		m.w.after(m.clock.to(m.cfg.Report), poll)
+		m.w.After(m.clock.to(m.cfg.Report), poll)
 	}
-	m.w.after(time.Duration(m.w.rng.Int64N(int64(m.cfg.Report))), poll)
+	m.w.After(time.Duration(m.w.rng.Int64N(int64(m.cfg.Report))), poll)
 	m.wake()
 }
 
@@ -134,13 +134,13 @@
 		return
 	}
 	m.waking = true
-	at := max(m.w.now, m.clock.to(m.agent.Next())+time.Microsecond, m.until)
-	m.w.at(at, func() {
+	at := max(m.w.Now(), m.clock.to(m.agent.Next())+time.Microsecond, m.until)
+	m.w.At(at, func() {
 		m.waking = false
 		if m.agent == nil {
 			return
 		}
-		if m.w.now >= m.until {
+		if m.w.Now() >= m.until {
 			m.act(m.agent.Tick(m.now()))
 		}
 		m.wake()
@@ -157,8 +157,8 @@
 	if m.life != life || m.agent == nil {
 		return
 	}
-	if m.w.now < m.until {
-		m.w.at(m.until, func() { m.told(life, f) })
+	if m.w.Now() < m.until {
+		m.w.At(m.until, func() { m.told(life, f) })
 		return
 	}
 	m.act(f())
@@ -170,7 +170,7 @@
 	for i := 0; i < len(do) && m.agent != nil; i++ {
 		switch a := do[i]; {
 		case a.Save != nil:
-			if m.w.now < m.full {
+			if m.w.Now() < m.full {
 				if a.Must {
 					do = append(do[:i+1:i+1], m.agent.SaveFailed(m.now(), errFull)...)
 				}
@@ -214,7 +214,7 @@
 func (m *member) terminate(takes time.Duration) {
 	boot := m.prog.boot
 	m.lapse(func() { m.prog.ends = true })
-	m.w.after(takes, func() { m.exit(boot, "ended as told") })
+	m.w.After(takes, func() { m.exit(boot, "ended as told") })
 }
 
 // exit ends the program, if it is still that one.
@@ -228,7 +228,7 @@
 
 func (m *member) tellExit(why string) {
 	life := m.life
-	m.w.after(time.Millisecond, func() {
+	m.w.After(time.Millisecond, func() {
 		m.told(life, func() []rollout.Action { return m.agent.Exited(m.now(), why) })
 	})
 }
@@ -240,16 +240,15 @@
 		return
 	}
 	w := m.w
-	w.seq++
-	boot := w.seq
+	boot := w.Sequence()
 	b := w.behaves(m, version)
 	m.lapse(func() {
-		m.prog = program{running: true, boot: boot, version: version, began: w.now, lostFrom: m.prog.lostFrom, rate: m.prog.rate, refuses: m.prog.refuses,
-			readyAt: w.now + time.Duration((0.3+w.rng.Float64()*2)*float64(time.Second)), counted: w.now, classes: map[string]rollout.Count{}}
+		m.prog = program{running: true, boot: boot, version: version, began: w.Now(), lostFrom: m.prog.lostFrom, rate: m.prog.rate, refuses: m.prog.refuses,
+			readyAt: w.Now() + time.Duration((0.3+w.rng.Float64()*2)*float64(time.Second)), counted: w.Now(), classes: map[string]rollout.Count{}}
 	})
 	switch {
 	case b.crashAt >= 0:
-		w.after(b.crashAt+time.Millisecond, func() {
+		w.After(b.crashAt+time.Millisecond, func() {
 			if m.prog.running && m.prog.boot == boot {
 				w.firstBad()
 				m.exit(boot, "exit code 2")
@@ -275,13 +274,13 @@
 func (m *member) count() {
 	p := &m.prog
 	w := m.w
-	span := (w.now - p.counted).Seconds()
-	p.counted = w.now
-	if !p.running || p.unready || w.now < p.readyAt || p.standby || span <= 0 {
+	span := (w.Now() - p.counted).Seconds()
+	p.counted = w.Now()
+	if !p.running || p.unready || w.Now() < p.readyAt || p.standby || span <= 0 {
 		return
 	}
 	b := w.behaves(m, p.version)
-	if w.now-p.began < b.from {
+	if w.Now()-p.began < b.from {
 		b.refuses, b.fails, b.slower = 0, 0, 1
 	}
 	if b.refuses > 0 || b.fails > 0 || b.slower > 1 {
@@ -332,16 +331,16 @@
 	}
 	if w.Way != Agreed {
 		reply := rollout.Reply{Stamp: r.Stamp}
-		if m.goAt > 0 && w.now >= m.goAt && r.Seen == 0 {
+		if m.goAt > 0 && w.Now() >= m.goAt && r.Seen == 0 {
 			reply.Order = &rollout.Order{Fence: 1, Kind: rollout.Release, Version: version(0)}
 			truth.granted = 1
 		}
-		w.after(time.Millisecond, func() {
+		w.After(time.Millisecond, func() {
 			m.told(life, func() []rollout.Action { return m.agent.Replied(m.now(), r.Seq, reply) })
 		})
 		return
 	}
-	w.after(m.clock.to(2*m.cfg.Report), func() { failed(-1) })
+	w.After(m.clock.to(2*m.cfg.Report), func() { failed(-1) })
 	w.carry(m.end, place, func() {
 		c := w.slots[place]
 		if c.r == nil {
@@ -349,7 +348,7 @@
 			return
 		}
 		c.do(func() {
-			reply, err := c.r.Report(c.clock.of(w.now), r)
+			reply, err := c.r.Report(c.clock.of(w.Now()), r)
 			if not, ok := err.(*rollout.NotLeader); ok {
 				hint := -1
 				if l := w.coordinator(not.Leader); l != nil {
@@ -385,7 +384,7 @@
 		w.note("%s is given order %d (%s %s) by coordinator %d", m.name(), o.Fence, o.Kind, o.Version, c.id)
 	}
 	if seat := c.r.State().Members[m.name()]; seat != nil && seat.Grant != nil {
-		if at, halted := w.halted[seat.Grant.Rollout]; halted && w.now-at > w.slack() && m.granted != o.Fence {
+		if at, halted := w.halted[seat.Grant.Rollout]; halted && w.Now()-at > w.slack() && m.granted != o.Fence {
 			w.fault("%s is given order %d, of %s, which was halted at %v", m.name(), o.Fence, seat.Grant.Rollout, at)
 		}
 	}
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -138,12 +138,11 @@
 		m.cfg = rollout.AgentConfig{Member: rollout.Member{Name: name, Role: role, Zone: fmt.Sprint("z", len(w.members)%w.Zones), Weight: 1 + float64(len(w.members)%3)},
 			Coordinators: w.Coordinators, Version: "v1", Report: w.Timing.Report, Begin: w.Timing.Begin, Drain: 2 * time.Second, Stop: 5 * time.Second,
 			Start: 10 * time.Second, Prove: prove, Tries: 2, Backoff: time.Second}
-		w.seq++
-		m.prog = program{running: true, boot: w.seq, version: "v1", began: -time.Hour, readyAt: -time.Hour, classes: map[string]rollout.Count{}, was: true,
+		m.prog = program{running: true, boot: w.Sequence(), version: "v1", began: -time.Hour, readyAt: -time.Hour, classes: map[string]rollout.Count{}, was: true,
 			rate: rate, refuses: 0.01 * math.Exp(0.5*w.rng.NormFloat64())}
 		w.members = append(w.members, m)
 		w.byName[name] = m
-		w.after(time.Duration(w.rng.Int64N(int64(w.Timing.Report))), m.startAgent)
+		w.After(time.Duration(w.rng.Int64N(int64(w.Timing.Report))), m.startAgent)
 	}
 	for i := range w.Ingresses {
 		add("ingress", fmt.Sprintf("n%d", i), 10*time.Second, 20*math.Exp(0.6*w.rng.NormFloat64()))
@@ -157,7 +156,7 @@
 
 // noise is what all members have in common at a time, and some of their own.
 func (w *World) noise(m *member) float64 {
-	t := w.now.Seconds()
+	t := w.Now().Seconds()
 	return math.Exp(w.Noisy * (math.Sin(t/37+float64(w.Seed%7)) + 0.5*math.Sin(t/11+float64(m.end))))
 }
 
@@ -205,7 +204,7 @@
 // firstBad notes the first bad answer of a release.
 func (w *World) firstBad() {
 	if w.badAt == 0 {
-		w.badAt = w.now
+		w.badAt = w.Now()
 		w.note("the first bad answer of a release")
 	}
 }
@@ -235,7 +234,7 @@
 			}
 		}
 	}
-	w.at(start, func() {
+	w.At(start, func() {
 		if w.Way != Agreed {
 			return
 		}
@@ -247,29 +246,29 @@
 		}
 	})
 	if w.Backends > 0 && w.rng.IntN(2) == 0 && w.Way == Agreed {
-		w.at(start+20*time.Second, func() { w.startRollout("b1", "backend", "w2", "") })
+		w.At(start+20*time.Second, func() { w.startRollout("b1", "backend", "w2", "") })
 	}
 	if w.Hands {
 		for range w.rng.IntN(8) {
-			w.at(w.between(26*time.Second, w.Calm+60*time.Second), w.hand)
+			w.At(w.between(26*time.Second, w.Calm+60*time.Second), w.hand)
 		}
 	}
 	if w.Faulty {
 		for range (1 + w.rng.IntN(16)) * max(1, w.Dense) {
-			w.at(w.between(5*time.Second, w.Calm-60*time.Second), w.trouble)
+			w.At(w.between(5*time.Second, w.Calm-60*time.Second), w.trouble)
 		}
 	}
-	w.at(w.Calm, w.mend)
+	w.At(w.Calm, w.mend)
 	var look func()
 	look = func() {
 		if w.settled() {
-			w.End = w.now // nothing more comes of it
+			w.End = w.Now() // nothing more comes of it
 			return
 		}
-		w.after(5*time.Second, look)
+		w.After(5*time.Second, look)
 	}
 	if w.Way == Agreed {
-		w.at(w.Calm+20*time.Second, look)
+		w.At(w.Calm+20*time.Second, look)
 	}
 }
 
@@ -348,7 +347,7 @@
 		w.order(rollout.Entry{By: "op", HaltOf: rollout.HaltFor(id, &rollout.HaltedByOperator{By: "op", Why: "to look"})}, func(err error) {
 			w.note("halt of %s: %v", id, err)
 			if err == nil && !w.lifted[id] && w.lifting[id] == 0 {
-				w.halted[id] = w.now
+				w.halted[id] = w.Now()
 			}
 		})
 	}
@@ -358,14 +357,14 @@
 		halt()
 	case 1, 2, 3:
 		halt()
-		w.after(w.between(0, 60*time.Second), resume)
+		w.After(w.between(0, 60*time.Second), resume)
 	case 4: // from two terminals, within a second
 		halt()
-		w.after(w.between(0, time.Second), resume)
-		w.after(w.between(0, time.Second), func() { w.goBack(id) })
+		w.After(w.between(0, time.Second), resume)
+		w.After(w.between(0, time.Second), func() { w.goBack(id) })
 	default:
 		w.order(rollout.Entry{By: "op", Drain: m}, func(err error) { w.note("drain of %s: %v", m, err) })
-		w.after(w.between(0, 150*time.Second), func() {
+		w.After(w.between(0, 150*time.Second), func() {
 			w.order(rollout.Entry{By: "op", Undrain: m}, func(err error) { w.note("undrain of %s: %v", m, err) })
 		})
 	case 5:
--- a/internal/fleetsim/trouble.go
+++ b/internal/fleetsim/trouble.go
@@ -37,24 +37,24 @@
 	if len(out) > 0 && w.rng.IntN(2) == 0 {
 		m = out[w.rng.IntN(len(out))]
 	}
-	until := w.between(w.now+time.Second, w.now+40*time.Second)
+	until := w.between(w.Now()+time.Second, w.Now()+40*time.Second)
 	switch kind {
 	case "coordinator dies", "leader dies":
 		c.kill()
-		w.at(until, c.start)
+		w.At(until, c.start)
 	case "coordinators die":
 		for _, o := range slices.Clone(w.slots) {
 			o.kill()
-			w.at(w.between(w.now, until), o.start)
+			w.At(w.between(w.Now(), until), o.start)
 		}
 	case "coordinator pauses", "leader pauses":
 		c.pause(w.between(time.Second, 30*time.Second))
 	case "disk full":
 		c.disk.full = until
-		w.at(until+time.Second, c.start)
+		w.At(until+time.Second, c.start)
 	case "write fails": // the process ends in the midst of keeping something
 		c.disk.crashAt = c.disk.writes + 1 + w.rng.IntN(4)
-		w.at(until+time.Second, func() { c.disk.crashAt = 0; c.start() })
+		w.At(until+time.Second, func() { c.disk.crashAt = 0; c.start() })
 	case "disk older", "disk damaged", "disk empty":
 		// One at a time: what a majority has forgotten nobody can know.
 		if w.replaced {
@@ -63,17 +63,17 @@
 		w.replaced = true
 		c.disk.keep()
 		c.lost = true
-		w.at(until, func() {
+		w.At(until, func() {
 			c.kill()
 			switch kind {
 			case "disk older":
 				c.disk.saved = *c.disk.older
-				w.after(time.Second, c.start)
+				w.After(time.Second, c.start)
 			case "disk damaged":
 				c.disk.damaged = true
-				w.after(time.Second, c.start)
+				w.After(time.Second, c.start)
 			}
-			w.after(w.between(2*time.Second, 20*time.Second), func() { w.replace(c.place) })
+			w.After(w.between(2*time.Second, 20*time.Second), func() { w.replace(c.place) })
 		})
 	case "cut off":
 		// A minority of the coordinators, with half of the agents, apart from the rest.
@@ -94,7 +94,7 @@
 		w.cutWhere(func(a, b int) bool { return in && b == from || !in && a == from }, until)
 	case "loss":
 		w.loss = 0.05 + 0.25*w.rng.Float64()
-		w.at(until, func() { w.loss = 0 })
+		w.At(until, func() { w.loss = 0 })
 	case "agent dies", "agents die":
 		n := 1
 		if kind == "agents die" {
@@ -102,22 +102,22 @@
 		}
 		for range n {
 			m.killAgent()
-			w.at(w.between(w.now, until), m.startAgent)
+			w.At(w.between(w.Now(), until), m.startAgent)
 			m = w.members[w.rng.IntN(len(w.members))]
 		}
 	case "agent forgets":
 		m.killAgent()
 		m.mem.Grant, m.mem.Seen, m.mem.Index, m.mem.Version, m.mem.Failed, m.mem.Prior = nil, 0, 0, "", "", ""
-		w.at(until, m.startAgent)
+		w.At(until, m.startAgent)
 	case "agent pauses":
-		m.until = w.between(w.now, w.now+30*time.Second)
+		m.until = w.between(w.Now(), w.Now()+30*time.Second)
 	case "agent's disk full":
 		m.full = until
 	case "two agents":
 		twin := &member{w: w, end: m.end, clock: m.clock, cfg: m.cfg, shadow: m, prog: program{version: m.prog.version, classes: m.prog.classes}}
 		twin.prog.rate = 1
 		twin.startAgent()
-		w.at(until, twin.killAgent)
+		w.At(until, twin.killAgent)
 	case "program dies":
 		m.exit(m.prog.boot, "signal 9")
 	case "programs die":
@@ -127,17 +127,17 @@
 		}
 	case "program hangs":
 		// For longer than between two looks of the agent: shorter ones nobody can see.
-		until = max(until, w.now+time.Duration(1.1*float64(w.Timing.Report)))
+		until = max(until, w.Now()+time.Duration(1.1*float64(w.Timing.Report)))
 		boot := m.prog.boot
 		m.lapse(func() { m.prog.unready = true })
-		w.at(until, func() {
+		w.At(until, func() {
 			if m.prog.boot == boot && m.prog.unready { // and not brought back by another one's end
-				m.prog.unready, m.prog.readyAt, m.prog.was = false, w.now, false
+				m.prog.unready, m.prog.readyAt, m.prog.was = false, w.Now(), false
 			}
 		})
 	case "program flaps":
 		for i := range 6 {
-			w.after(time.Duration(i*7)*time.Second, func() { m.exit(m.prog.boot, "signal 11") })
+			w.After(time.Duration(i*7)*time.Second, func() { m.exit(m.prog.boot, "signal 11") })
 		}
 	case "zone lost":
 		zone := m.cfg.Member.Zone
@@ -148,7 +148,7 @@
 			if o.cfg.Member.Zone == zone {
 				o.killAgent()
 				o.lapse(func() { o.prog.running = false })
-				w.at(w.between(until, until+5*time.Second), o.startAgent)
+				w.At(w.between(until, until+5*time.Second), o.startAgent)
 			}
 		}
 	}
@@ -177,7 +177,7 @@
 			}
 		}
 	}
-	w.at(until, func() {
+	w.At(until, func() {
 		for _, link := range cut {
 			delete(w.cut, link)
 		}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -16,41 +15,17 @@
 	"slices"
 	"time"
 
+	"wickarch/internal/virtualtime"
 	"wickarch/rollout"
 	"wickarch/rollout/replica"
 )
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1].do = nil
-	*q = old[:len(old)-1]
-	return e
-}
-
 // World is one run.
 type World struct {
 	Scenario
-	rng    *rand.Rand
-	now    time.Duration
-	seq    uint64
-	events queue
-	tell   func(time.Duration, string)
+	virtualtime.Scheduler
+	rng  *rand.Rand
+	tell func(time.Duration, string)
 
 	coordinators []*coordinator // by number less one, those that were replaced among them
 	slots        []*coordinator // by the place that agents ask
@@ -97,15 +72,8 @@
 // ends of links: coordinators from 0 by place, agents from agentEnd.
 const agentEnd = 1000
 
-func (w *World) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{max(t, w.now), w.seq, do})
-}
-
-func (w *World) after(d time.Duration, do func()) { w.at(w.now+d, do) }
-
 func (w *World) fault(format string, args ...any) {
-	f := fmt.Sprintf("%9.3f s: ", w.now.Seconds()) + fmt.Sprintf(format, args...)
+	f := fmt.Sprintf("%9.3f s: ", w.Now().Seconds()) + fmt.Sprintf(format, args...)
 	if len(w.faults) < 20 {
 		w.faults = append(w.faults, f)
 	}
@@ -114,7 +82,7 @@
 
 func (w *World) note(format string, args ...any) {
 	if w.tell != nil {
-		w.tell(w.now, fmt.Sprintf(format, args...))
+		w.tell(w.Now(), fmt.Sprintf(format, args...))
 	}
 }
 
@@ -127,7 +95,7 @@
 	if w.loss > 0 && w.rng.IntN(20) == 0 {
 		d += time.Duration(w.rng.Float64() * float64(w.Slow)) // late, and overtaken
 	}
-	w.after(d, func() {
+	w.After(d, func() {
 		if !w.cut[[2]int{from, to}] {
 			do()
 		}
@@ -167,7 +135,7 @@
 		return
 	}
 	r, err := replica.New(replica.Config{ID: c.id, Rollout: c.w.Config, Tick: c.w.RaftTick, Election: 6, Compact: 200, Decide: c.w.Decide},
-		stored, &c.disk, c.w.Seed*31+c.id+uint64(c.life)<<40, c.clock.of(c.w.now))
+		stored, &c.disk, c.w.Seed*31+c.id+uint64(c.life)<<40, c.clock.of(c.w.Now()))
 	if err != nil {
 		c.w.note("coordinator %d does not start: %v", c.id, err)
 		c.dead = true
@@ -182,14 +150,14 @@
 		if c.life != life || c.r == nil {
 			return
 		}
-		if c.w.now < c.until {
-			c.w.at(c.until, tick)
+		if c.w.Now() < c.until {
+			c.w.At(c.until, tick)
 			return
 		}
-		c.do(func() { c.r.Tick(c.clock.of(c.w.now)) })
-		c.w.after(c.clock.to(c.w.RaftTick), tick)
+		c.do(func() { c.r.Tick(c.clock.of(c.w.Now())) })
+		c.w.After(c.clock.to(c.w.RaftTick), tick)
 	}
-	c.w.after(time.Duration(c.w.rng.Int64N(int64(c.w.RaftTick))), tick)
+	c.w.After(time.Duration(c.w.rng.Int64N(int64(c.w.RaftTick))), tick)
 }
 
 func (c *coordinator) kill() {
@@ -206,7 +174,7 @@
 	if c.r == nil {
 		return
 	}
-	if c.w.now < c.until {
+	if c.w.Now() < c.until {
 		if len(c.held) < 5000 {
 			c.held = append(c.held, f)
 		}
@@ -228,7 +196,7 @@
 		}
 		data := m.Data
 		c.w.carry(c.place, to.place, func() {
-			to.do(func() { to.r.Step(to.clock.of(c.w.now), data) })
+			to.do(func() { to.r.Step(to.clock.of(c.w.Now()), data) })
 		})
 	}
 	if err := c.r.Err(); err != nil {
@@ -236,7 +204,7 @@
 		switch err.(type) {
 		case *replica.LogBehind, *replica.LogSplit:
 			c.dead = true // its operator replaces it, as the remedy says
-			c.w.after(c.w.between(2*time.Second, 20*time.Second), func() { c.w.replace(c.place) })
+			c.w.After(c.w.between(2*time.Second, 20*time.Second), func() { c.w.replace(c.place) })
 		}
 		c.r = nil
 		c.life++
@@ -248,9 +216,9 @@
 		return
 	}
 	c.w.note("coordinator %d is paused for %v", c.id, d)
-	c.until = c.w.now + d
+	c.until = c.w.Now() + d
 	life := c.life
-	c.w.at(c.until, func() {
+	c.w.At(c.until, func() {
 		if c.life != life {
 			return
 		}
@@ -272,7 +240,7 @@
 // leader is the coordinator that leads in the highest term; nil for none.
 func (w *World) leader() (lead *coordinator) {
 	for _, c := range w.coordinators {
-		if c.r != nil && c.r.Leading() && w.now >= c.until && (lead == nil || c.r.Term() > lead.r.Term()) {
+		if c.r != nil && c.r.Leading() && w.Now() >= c.until && (lead == nil || c.r.Term() > lead.r.Term()) {
 			lead = c
 		}
 	}
@@ -285,7 +253,7 @@
 		n := 0
 		for _, id := range ids {
 			o := w.coordinator(id)
-			if o.r != nil && w.now >= o.until && !w.cut[[2]int{c.place, o.place}] && !w.cut[[2]int{o.place, c.place}] {
+			if o.r != nil && w.Now() >= o.until && !w.cut[[2]int{c.place, o.place}] && !w.cut[[2]int{o.place, c.place}] {
 				n++
 			}
 		}
@@ -311,7 +279,7 @@
 	}
 	lead := w.leader()
 	if lead == nil || lead == old {
-		w.after(2*time.Second, func() { w.replace(place) })
+		w.After(2*time.Second, func() { w.replace(place) })
 		return
 	}
 	id := uint64(len(w.coordinators) + 1)
@@ -333,17 +301,16 @@
 			if _, there := lead.r.Peers()[id]; there {
 				return
 			}
-			lead.do(func() { lead.r.Replace(lead.clock.of(w.now), old.id, id, "") })
+			lead.do(func() { lead.r.Replace(lead.clock.of(w.Now()), old.id, id, "") })
 		}
-		w.after(3*time.Second, again)
+		w.After(3*time.Second, again)
 	}
 	again()
 }
 
 // order sends an operator's order until it is decided, as the command does.
 func (w *World) order(e rollout.Entry, done func(error)) {
-	w.seq++
-	e.Request = fmt.Sprint("q", w.seq)
+	e.Request = fmt.Sprint("q", w.Sequence())
 	place := w.rng.IntN(len(w.slots))
 	var try func(n int)
 	try = func(n int) {
@@ -373,16 +340,16 @@
 				return
 			}
 			if n < 200 {
-				w.after(500*time.Millisecond, func() { try(n + 1) })
+				w.After(500*time.Millisecond, func() { try(n + 1) })
 			}
 		}
 		c := w.slots[place]
-		if c.r != nil && w.now >= c.until {
+		if c.r != nil && w.Now() >= c.until {
 			c.do(func() {
-				c.r.Order(c.clock.of(w.now), e, func(err error) { w.after(time.Millisecond, func() { answer(err) }) })
+				c.r.Order(c.clock.of(w.Now()), e, func(err error) { w.After(time.Millisecond, func() { answer(err) }) })
 			})
 		}
-		w.after(3*time.Second, func() {
+		w.After(3*time.Second, func() {
 			if !answered {
 				place = (place + 1) % len(w.slots)
 				answer(&rollout.Undecided{Why: "no answer"})
@@ -465,20 +432,19 @@
 	w.plan()
 	var leaderless time.Duration
 	last := time.Duration(0)
-	for len(w.events) > 0 && w.events[0].at <= w.End {
-		e := heap.Pop(&w.events).(event)
-		if w.now = e.at; w.now-last >= 250*time.Millisecond {
+	for event, more := w.Next(w.End); more; event, more = w.Next(w.End) {
+		if w.Now()-last >= 250*time.Millisecond {
 			if w.leader() == nil {
-				leaderless += w.now - last
+				leaderless += w.Now() - last
 			}
-			last = w.now
+			last = w.Now()
 			w.sample()
 			w.follow()
 		}
 		w.Report.Events++
-		e.do()
+		event.Do()
 	}
-	w.Report.Leaderless, w.Report.Span = leaderless, w.now
+	w.Report.Leaderless, w.Report.Span = leaderless, w.Now()
 	w.finish()
 	w.Report.Faults = w.faults
 	return w.Report
@@ -502,7 +468,7 @@
 			}
 		}
 		if w.Report.Took < 0 {
-			w.Report.Took = w.now - w.startAt
+			w.Report.Took = w.Now() - w.startAt
 		}
 		return
 	}
@@ -515,15 +481,15 @@
 		return
 	}
 	if r.Halt != nil && w.Report.Halted < 0 && w.badAt > 0 {
-		w.Report.Halted = w.now - w.badAt
+		w.Report.Halted = w.Now() - w.badAt
 	}
 	if r.Halt != nil && w.GoBack && r.Phase == rollout.Going && !w.lifted[r.ID] {
 		w.goBack(r.ID)
 	}
 	if r.Phase.Ended() && w.Report.Took < 0 {
-		w.Report.Took = w.now - w.startAt
+		w.Report.Took = w.Now() - w.startAt
 		if r.Phase == rollout.Undone && w.badAt > 0 {
-			w.Report.Undone = w.now - w.badAt
+			w.Report.Undone = w.Now() - w.badAt
 		}
 	}
 }
@@ -568,7 +534,7 @@
 		}
 		w.Report.Rollouts[how]++
 		if !r.Phase.Ended() && r.Halt == nil && state.Stop == nil && r.Phase != rollout.Waiting {
-			status, _ := lead.r.Status(lead.clock.of(w.now))
+			status, _ := lead.r.Status(lead.clock.of(w.Now()))
 			w.fault("rollout %s neither ends nor halts: %s", r.ID, line(status, r.ID))
 		}
 	}
