--- a/cmd/mutants/main.go
+++ b/cmd/bench/mutants/main.go
@@ -138,7 +138,7 @@
 	if err := os.WriteFile(path, []byte(strings.Replace(string(text), old, strings.TrimSuffix(m.new, "\n"), 1)), 0o600); err != nil {
 		return "", err
 	}
-	target, args := "./cmd/seeds", []string{"-first", "-count", fmt.Sprint(count)}
+	target, args := "./cmd/bench/seeds", []string{"-first", "-count", fmt.Sprint(count)}
 	if m.drawn != "" {
 		args = append(args, m.drawn)
 	}
