--- a/cmd/bench/idle/main.go
+++ b/cmd/bench/idle/main.go
@@ -1,11 +1,11 @@
-// Command idlebench measures what connections at rest cost an ingress, and what
+// Command idle measures what connections at rest cost an ingress, and what
 // they leave to the busy few. It starts the real program between stand-ins on
 // loopback, holds connections in processes of their own, and prints tables. It
 // is a long measurement, and no part of CI.
 //
-//	idlebench                            latency beside 0, 1,000, 10,000, 20,000 at rest, mass close and storm
-//	idlebench -many 200000               as many at rest as asked for, over several ingresses on one core
-//	idlebench -request -other OLD        CPU a request, beside an older build and a bare relay, in turn
+//	idle                            latency beside 0, 1,000, 10,000, 20,000 at rest, mass close and storm
+//	idle -many 200000               as many at rest as asked for, over several ingresses on one core
+//	idle -request -other OLD        CPU a request, beside an older build and a bare relay, in turn
 package main
 
 import (
@@ -73,7 +73,7 @@
 		err = beside(ctx)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "idlebench:", err)
+		fmt.Fprintln(os.Stderr, "idle:", err)
 		os.Exit(1)
 	}
 }
@@ -111,7 +111,7 @@
 	s.discovery = standin.NewDiscovery(members...)
 	s.discovery.Open()
 	var err error
-	s.dir, err = os.MkdirTemp("", "idlebench")
+	s.dir, err = os.MkdirTemp("", "idle")
 	return s, err
 }
 
@@ -234,7 +234,7 @@
 		}
 		all.Wait()
 		if failed.Load() > 0 {
-			fmt.Fprintf(os.Stderr, "idlebench: %d of %d connections were not served\n", failed.Load(), n)
+			fmt.Fprintf(os.Stderr, "idle: %d of %d connections were not served\n", failed.Load(), n)
 		}
 		runtime.GC()
 		return nil
--- a/cmd/bench/mutants/main.go
+++ b/cmd/bench/mutants/main.go
@@ -26,8 +26,8 @@
 // mutant is one guard taken out: in a file, one text in place of another.
 type mutant struct {
 	name, file, old, new string
-	drawn                string   // the flag of cmd/seeds that draws what notices it; "": none
-	play                 []string // what plays: a package, and its arguments; nil for cmd/seeds
+	drawn                string   // the flag of cmd/bench/seeds that draws what notices it; "": none
+	play                 []string // what plays: a package, and its arguments; nil for cmd/bench/seeds
 }
 
 func main() {
--- a/cmd/bench/rollouts/search.go
+++ b/cmd/bench/rollouts/search.go
@@ -14,7 +14,7 @@
 	Seconds int      `help:"Of time, in each path." default:"12"`
 	Faults  int      `help:"In each path, at most." default:"2"`
 	Kinds   []string `help:"Of faults; all if left out."`
-	Count   int      `hidden:""` // for cmd/mutants
+	Count   int      `hidden:""` // for cmd/bench/mutants
 }
 
 // Run searches.
--- a/internal/distsim/distsim_test.go
+++ b/internal/distsim/distsim_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// cmd/mutants -list internal/distsim/mutants.txt takes guards out of package distribution,
+// cmd/bench/mutants -list internal/distsim/mutants.txt takes guards out of package distribution,
 // one by one, and tells which seed notices each.
 
 // Schedules of faults, each drawn by its seed, break nothing.
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// cmd/mutants -list internal/fleetsim/mutants.txt takes guards out of the program, one
+// cmd/bench/mutants -list internal/fleetsim/mutants.txt takes guards out of the program, one
 // by one, and tells which seed notices each.
 
 // Schedules of faults, each drawn by its seed, keep the invariant, lose no halt and end.
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -5,7 +5,7 @@
 //
 // What must never happen is checked from outside, at the stand-ins and on the
 // wire, after every event (check.go). A seed that shows a fault is played again
-// alone, with a trace, by cmd/seeds -seed N -trace.
+// alone, with a trace, by cmd/bench/seeds -seed N -trace.
 package simulate
 
 import (
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -10,7 +10,7 @@
 	"wickarch/internal/reactor/simnet"
 )
 
-// The simulation has to be able to see what it checks for. cmd/mutants takes
+// The simulation has to be able to see what it checks for. cmd/bench/mutants takes
 // guards out of the program, one by one, and tells which seed notices each.
 
 func TestSeeds(t *testing.T) { playAll(t, 150, 100, Draw, "") }
@@ -27,7 +27,7 @@
 
 // Twenty to thirty ingresses under a burst, before backends that join and that come back cold: none of these gets
 // more than N + 2 x root of N requests of mean work, over two thirds of it from ingresses that know. Three hundred
-// seeds: go run ./cmd/seeds -throng -count 300.
+// seeds: go run ./cmd/bench/seeds -throng -count 300.
 func TestThrong(t *testing.T) {
 	r := playAll(t, 8, 1500, DrawThrong, " -throng")
 	t.Logf("%d fell; the coldest backend was sent %.2f of what it bears", r.Fallen, r.Coldest)
@@ -115,7 +115,7 @@
 				got := Run(draw(seed), nil)
 				mu.Lock()
 				for _, f := range got.Faults {
-					t.Errorf("seed %d (go run ./cmd/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
+					t.Errorf("seed %d (go run ./cmd/bench/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
 				}
 				sum.Requests += got.Requests
 				sum.Served += got.Served
