--- a/cmd/bench/distribution/main.go
+++ b/cmd/bench/distribution/main.go
@@ -5,14 +5,13 @@
 import (
 	"fmt"
 	"os"
-	"runtime"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"wickarch/internal/distsim"
+	"wickarch/internal/sweep"
 )
 
 func main() {
@@ -24,14 +23,9 @@
 }
 
 type schedules struct {
-	From      uint64 `help:"The first seed." default:"1"`
-	Count     uint64 `help:"How many seeds." default:"100"`
-	Seed      uint64 `help:"Play this one alone."`
-	Trace     bool   `help:"With --seed: print all that happens."`
-	First     bool   `help:"Stop at the first fault."`
-	Calm      bool   `help:"Without faults."`
-	Jobs      int    `help:"How many at a time; 0 for one a core."`
-	Followers int    `default:"480"`
+	sweep.Flags
+	Calm      bool `help:"Without faults."`
+	Followers int  `default:"480"`
 }
 
 func (s *schedules) draw(seed uint64) distsim.Scenario {
@@ -55,40 +49,18 @@
 		return nil
 	}
 	began := time.Now()
-	var mu sync.Mutex
-	var all sync.WaitGroup
 	var sum distsim.Report
-	next, played, bad := s.From, 0, 0
-	jobs := s.Jobs
-	if jobs == 0 {
-		jobs = runtime.GOMAXPROCS(0)
-	}
-	for range jobs {
-		all.Go(func() {
-			for {
-				mu.Lock()
-				seed := next
-				next++
-				done := s.First && bad > 0 || seed >= s.From+s.Count
-				mu.Unlock()
-				if done {
-					return
-				}
-				r := distsim.Run(s.draw(seed), nil)
-				mu.Lock()
-				played++
-				add(&sum, r)
-				if len(r.Faults) > 0 {
-					bad++
-					for _, f := range r.Faults[:min(2, len(r.Faults))] {
-						fmt.Printf("seed %d: %s\n", seed, f)
-					}
-				}
-				mu.Unlock()
+	bad := 0
+	played := sweep.Run(s.Seeds(), func(seed uint64) distsim.Report { return distsim.Run(s.draw(seed), nil) }, func(seed uint64, r distsim.Report) bool {
+		add(&sum, r)
+		if len(r.Faults) > 0 {
+			bad++
+			for _, f := range r.Faults[:min(2, len(r.Faults))] {
+				fmt.Printf("seed %d: %s\n", seed, f)
 			}
-		})
-	}
-	all.Wait()
+		}
+		return !s.First || bad == 0
+	})
 	fmt.Printf("%d schedules of %d followers in %v: %d events, %d questions, %d versions, %d conflicts, %d halts, %d settled, %d leaders, %d faults caused, %d replies not taken, at most %d apart; %d broken\n",
 		played, s.Followers, time.Since(began).Round(time.Second), sum.Events, sum.Polls, sum.Versions, sum.Conflicts, sum.Halts, sum.Settles, sum.Leaders, sum.Troubles,
 		sum.NotTaken, sum.Apart, bad)
--- a/cmd/bench/rollouts/figures.go
+++ b/cmd/bench/rollouts/figures.go
@@ -2,26 +2,20 @@
 
 import (
 	"fmt"
-	"runtime"
-	"sync"
 	"time"
 
 	"wickarch/internal/fleetsim"
+	"wickarch/internal/sweep"
 )
 
-// plays runs scenarios of seeds side by side.
+// plays runs scenarios of seeds from 1 on side by side.
 func plays(seeds int, draw func(seed uint64) fleetsim.Scenario) []fleetsim.Report {
 	reports := make([]fleetsim.Report, seeds)
-	var all sync.WaitGroup
-	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
-	for i := range reports {
-		all.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			reports[i] = fleetsim.Run(draw(uint64(i+1)), nil)
+	sweep.Run(sweep.Seeds{From: 1, Count: uint64(seeds)}, func(seed uint64) fleetsim.Report { return fleetsim.Run(draw(seed), nil) },
+		func(seed uint64, r fleetsim.Report) bool {
+			reports[seed-1] = r
+			return true
 		})
-	}
-	all.Wait()
 	return reports
 }
 
--- a/cmd/bench/rollouts/releases.go
+++ b/cmd/bench/rollouts/releases.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"time"
 
 	"wickarch/internal/fleetsim"
@@ -18,29 +17,23 @@
 func (c *releases) Run() error {
 	fmt.Printf("%-36s %5s %7s %8s %8s %9s %9s  %s\n", "release", "plays", "out", "took", "reached", "halt", "all back", "ends")
 	for _, kind := range fleetsim.Kinds {
-		var mu sync.Mutex
-		var all sync.WaitGroup
 		ends := map[string]int{}
 		var out, bad int
 		var took, halt, back []time.Duration
-		for seed := range uint64(c.Plays) {
-			all.Go(func() {
-				s := fleetsim.Draw(seed+1, c.Ingresses, c.Backends, 5)
-				s.Releases, s.Faulty, s.Hands, s.GoBack = []fleetsim.Kind{kind}, false, false, true
-				r := fleetsim.Run(s, nil)
-				mu.Lock()
-				defer mu.Unlock()
-				for how, n := range r.Rollouts {
-					ends[how] += n
-				}
-				out, bad = max(out, r.MostOut), max(bad, r.Bad)
-				took, halt, back = add(took, r.Took), add(halt, r.Halted), add(back, r.Undone)
-				for _, f := range r.Faults {
-					ends["FAULT "+f]++
-				}
-			})
+		for _, r := range plays(c.Plays, func(seed uint64) fleetsim.Scenario {
+			s := fleetsim.Draw(seed, c.Ingresses, c.Backends, 5)
+			s.Releases, s.Faulty, s.Hands, s.GoBack = []fleetsim.Kind{kind}, false, false, true
+			return s
+		}) {
+			for how, n := range r.Rollouts {
+				ends[how] += n
+			}
+			out, bad = max(out, r.MostOut), max(bad, r.Bad)
+			took, halt, back = add(took, r.Took), add(halt, r.Halted), add(back, r.Undone)
+			for _, f := range r.Faults {
+				ends["FAULT "+f]++
+			}
 		}
-		all.Wait()
 		fmt.Printf("%-36s %5d %7d %8s %8d %9s %9s  %v\n", kind, c.Plays, out, median(took), bad, median(halt), median(back), ends)
 	}
 	return nil
--- a/cmd/bench/seeds/main.go
+++ b/cmd/bench/seeds/main.go
@@ -10,11 +10,10 @@
 	"fmt"
 	"os"
 	"runtime"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"wickarch/internal/simulate"
+	"wickarch/internal/sweep"
 )
 
 var draw = simulate.Draw
@@ -71,42 +70,25 @@
 // many plays seeds side by side, and tells whether all are without a fault.
 func many(from, count uint64, jobs int, first bool) bool {
 	began := time.Now()
-	var mu sync.Mutex
-	var stop atomic.Bool
-	next, bad := from, 0
+	bad := 0
 	var sum simulate.Report
-	var all sync.WaitGroup
-	for range jobs {
-		all.Go(func() {
-			for {
-				mu.Lock()
-				seed := next
-				next++
-				mu.Unlock()
-				if seed >= from+count || first && stop.Load() {
-					return
-				}
-				r := simulate.Run(draw(seed), nil)
-				mu.Lock()
-				if len(r.Faults) > 0 {
-					bad++
-					stop.Store(true)
-					fmt.Printf("seed %d: %s\n", seed, r.Faults[0])
-				}
-				sum.Requests += r.Requests
-				sum.Served += r.Served
-				sum.Refused += r.Refused
-				sum.Failed += r.Failed
-				sum.Unreached += r.Unreached
-				sum.Excused += r.Excused
-				sum.Runs += r.Runs
-				sum.Fallen += r.Fallen
-				sum.Coldest = max(sum.Coldest, r.Coldest)
-				mu.Unlock()
-			}
-		})
-	}
-	all.Wait()
+	seeds := sweep.Seeds{From: from, Count: count, Jobs: jobs}
+	sweep.Run(seeds, func(seed uint64) simulate.Report { return simulate.Run(draw(seed), nil) }, func(seed uint64, r simulate.Report) bool {
+		if len(r.Faults) > 0 {
+			bad++
+			fmt.Printf("seed %d: %s\n", seed, r.Faults[0])
+		}
+		sum.Requests += r.Requests
+		sum.Served += r.Served
+		sum.Refused += r.Refused
+		sum.Failed += r.Failed
+		sum.Unreached += r.Unreached
+		sum.Excused += r.Excused
+		sum.Runs += r.Runs
+		sum.Fallen += r.Fallen
+		sum.Coldest = max(sum.Coldest, r.Coldest)
+		return !first || bad == 0
+	})
 	took := time.Since(began)
 	fmt.Printf("%d seeds in %v, %.0f a second; %d with a fault\n", count, took.Round(time.Millisecond), float64(count)/took.Seconds(), bad)
 	fmt.Printf("%d requests: %d served, %d refused, %d failed, %d unreached, %d excused; %d runs at backends\n",
