--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"reflect"
-	"runtime"
-	"sync"
 	"testing"
 	"time"
+
+	"wickarch/internal/sweep"
 )
 
 // cmd/bench/mutants -list internal/fleetsim/mutants.txt takes guards out of the program, one
@@ -15,35 +15,21 @@
 // Schedules of faults, each drawn by its seed, keep the invariant, lose no halt and end.
 func TestSchedules(t *testing.T) {
 	const count = 300
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	next, orders, ended := uint64(0), 0, 0
-	for range runtime.GOMAXPROCS(0) {
-		all.Go(func() {
-			for {
-				mu.Lock()
-				next++
-				seed := next
-				mu.Unlock()
-				if seed > count {
-					return
-				}
-				// Small and short: cmd/bench/rollouts plays them at full size.
-				s := Draw(seed, 7, 2, 3)
-				s.Calm, s.End = 130*time.Second, 1200*time.Second
-				s.Gate.Patience, s.Gate.Soak, s.Gate.Requests = 80*time.Second, 15*time.Second, 50
-				r := Run(s, nil)
-				mu.Lock()
-				for _, f := range r.Faults {
-					t.Errorf("seed %d: %s", seed, f)
-				}
-				orders += r.Orders
-				ended += r.Rollouts["done"]
-				mu.Unlock()
-			}
-		})
-	}
-	all.Wait()
+	orders, ended := 0, 0
+	sweep.Run(sweep.Seeds{From: 1, Count: count}, func(seed uint64) Report {
+		// Small and short: cmd/bench/rollouts plays them at full size.
+		s := Draw(seed, 7, 2, 3)
+		s.Calm, s.End = 130*time.Second, 1200*time.Second
+		s.Gate.Patience, s.Gate.Soak, s.Gate.Requests = 80*time.Second, 15*time.Second, 50
+		return Run(s, nil)
+	}, func(seed uint64, r Report) bool {
+		for _, f := range r.Faults {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+		orders += r.Orders
+		ended += r.Rollouts["done"]
+		return true
+	})
 	// So that a run in which nothing happens does not pass.
 	if orders < 3*count || ended < count/6 {
 		t.Errorf("%d orders, %d rollouts done: too little to show anything", orders, ended)
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"reflect"
-	"runtime"
-	"sync"
 	"testing"
 	"time"
 
 	"wickarch/internal/reactor/simnet"
+	"wickarch/internal/sweep"
 )
 
 // The simulation has to be able to see what it checks for. cmd/bench/mutants takes
@@ -98,34 +97,17 @@
 
 // playAll plays seeds, with so many requests in each on average at least.
 func playAll(t *testing.T, seeds uint64, requests int, draw func(uint64) Scenario, flags string) Report {
-	var mu sync.Mutex
-	next := uint64(0)
 	var sum Report
-	var all sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		all.Go(func() {
-			for {
-				mu.Lock()
-				next++
-				seed := next
-				mu.Unlock()
-				if seed > seeds {
-					return
-				}
-				got := Run(draw(seed), nil)
-				mu.Lock()
-				for _, f := range got.Faults {
-					t.Errorf("seed %d (go run ./cmd/bench/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
-				}
-				sum.Requests += got.Requests
-				sum.Served += got.Served
-				sum.Fallen += got.Fallen
-				sum.Coldest = max(sum.Coldest, got.Coldest)
-				mu.Unlock()
-			}
-		})
-	}
-	all.Wait()
+	sweep.Run(sweep.Seeds{From: 1, Count: seeds}, func(seed uint64) Report { return Run(draw(seed), nil) }, func(seed uint64, got Report) bool {
+		for _, f := range got.Faults {
+			t.Errorf("seed %d (go run ./cmd/bench/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
+		}
+		sum.Requests += got.Requests
+		sum.Served += got.Served
+		sum.Fallen += got.Fallen
+		sum.Coldest = max(sum.Coldest, got.Coldest)
+		return true
+	})
 	// So that a run in which nothing happens does not pass.
 	if sum.Served < sum.Requests/3 || sum.Requests < requests*int(seeds) {
 		t.Errorf("%d requests, %d of them served: too little to show anything", sum.Requests, sum.Served)
