--- /dev/null
+++ b/internal/virtualtime/recorder_test.go
@@ -0,0 +1,37 @@
+package virtualtime
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Notes and faults are told with their times; the first faults are kept.
+func TestRecorder(t *testing.T) {
+	var s Scheduler
+	var told []string
+	r := NewRecorder(&s, func(at time.Duration, text string) { told = append(told, fmt.Sprint(at, " ", text)) })
+	s.At(1500*time.Millisecond, func() { r.Note("%d begins", 1) })
+	s.At(2*time.Second, func() { r.Fault("%d is lost", 2) })
+	play(&s, time.Minute)
+	if want := []string{"1.5s 1 begins", "2s FAULT     2.000 s: 2 is lost"}; !slices.Equal(told, want) {
+		t.Errorf("told %q, want %q", told, want)
+	}
+	if want := []string{"    2.000 s: 2 is lost"}; !slices.Equal(r.Faults(), want) {
+		t.Errorf("faults %q, want %q", r.Faults(), want)
+	}
+}
+
+// Without anyone to tell faults are kept all the same, to a bound.
+func TestRecorderKeepsTheFirstFaults(t *testing.T) {
+	var s Scheduler
+	r := NewRecorder(&s, nil)
+	r.Note("nobody hears")
+	for i := range MostFaults + 5 {
+		r.Fault("%d", i)
+	}
+	if list := r.Faults(); len(list) != MostFaults || list[0] != "    0.000 s: 0" {
+		t.Errorf("%d faults are kept, from %q on", len(list), list[:1])
+	}
+}
