--- a/internal/distsim/coordinator.go
+++ b/internal/distsim/coordinator.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wickarch/distribution"
+	"wickarch/internal/virtualtime"
 )
 
 const (
@@ -31,15 +32,14 @@
 	term     uint64 // of pub
 	silent   int
 	patience int
-	life     int
-	until    time.Duration // paused until then
-	held     []func()
 	waiting  map[string]func(error)
 	polls    map[string]func(uint64, distribution.Reply) // how a held question is answered
+
+	virtualtime.Process
 }
 
 func newCoordinator(w *World, id uint64, region int) *coordinator {
-	c := &coordinator{w: w, id: id, region: region, rate: w.drawRate(), log: raft.NewMemoryStorage()}
+	c := &coordinator{w: w, id: id, region: region, rate: w.drawRate(), log: raft.NewMemoryStorage(), Process: virtualtime.NewProcess(&w.Scheduler)}
 	w.must(c.log.ApplySnapshot(&pb.Snapshot{Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
 		ConfState: &pb.ConfState{Voters: []uint64{1, 2, 3}}}}))
 	w.must(c.log.SetHardState(&pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}))
@@ -59,17 +59,16 @@
 		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: quiet{}})
 	c.w.must(err)
 	c.catalog, c.waiting, c.polls = distribution.NewCatalog(), map[string]func(error){}, map[string]func(uint64, distribution.Reply){}
-	c.life++
-	c.until, c.held = 0, nil
+	c.Begin()
 	c.restless()
-	life := c.life
+	life := c.Life()
 	var beat func()
 	beat = func() {
-		if c.life != life {
+		if c.Life() != life {
 			return
 		}
-		if c.w.Now() < c.until {
-			c.w.At(c.until, beat)
+		if c.Paused() {
+			c.w.At(c.Resumes(), beat)
 			return
 		}
 		c.do(c.beat)
@@ -79,19 +78,13 @@
 }
 
 func (c *coordinator) kill() {
-	c.node, c.pub, c.leads, c.held = nil, nil, false, nil
-	c.life++
+	c.node, c.pub, c.leads = nil, nil, false
+	c.End()
 }
 
 // do runs something here, now or when a pause is over.
 func (c *coordinator) do(f func()) {
-	if c.node == nil {
-		return
-	}
-	if c.w.Now() < c.until {
-		if len(c.held) < 5000 {
-			c.held = append(c.held, f)
-		}
+	if c.node == nil || c.Hold(f) {
 		return
 	}
 	f()
@@ -104,18 +97,7 @@
 	if c.node == nil {
 		return
 	}
-	c.until = c.w.Now() + d
-	life := c.life
-	c.w.At(c.until, func() {
-		if c.life != life {
-			return
-		}
-		held := c.held
-		c.held = nil
-		for _, f := range held {
-			c.do(f)
-		}
-	})
+	c.Pause(d, c.do)
 }
 
 func (c *coordinator) beat() {
@@ -224,7 +206,7 @@
 		c.term = entry.GetTerm()
 		c.pub = distribution.NewPublisher(c.w.Timing, c.catalog, c.now())
 		c.w.Report.Leaders++
-		c.w.note("coordinator %d leads in term %d", c.id, c.term)
+		c.w.Note("coordinator %d leads in term %d", c.id, c.term)
 	}
 }
 
--- a/internal/distsim/follower.go
+++ b/internal/distsim/follower.go
@@ -70,7 +70,7 @@
 	u := f.f.InUse()
 	if u.Version < before {
 		if !f.lost {
-			f.w.fault("%s starts by version %d, and decided by %d", f.name, u.Version, before)
+			f.w.Fault("%s starts by version %d, and decided by %d", f.name, u.Version, before)
 		}
 		f.mark = f.w.log.Version
 	}
@@ -153,7 +153,7 @@
 		save, err := f.f.Replied(f.now(), number, r)
 		if err != nil {
 			f.w.Report.NotTaken++
-			f.w.note("%s does not take a reply: %v", f.name, err)
+			f.w.Note("%s does not take a reply: %v", f.name, err)
 		}
 		if save == nil {
 			return
@@ -217,12 +217,12 @@
 	w := f.w
 	switch {
 	case u.Version < f.used:
-		w.fault("%s goes from version %d back to %d", f.name, f.used, u.Version)
+		w.Fault("%s goes from version %d back to %d", f.name, f.used, u.Version)
 	case u.Version == f.used && u.Settled <= f.settled && !whole:
-		w.fault("%s applies version %d twice", f.name, u.Version)
+		w.Fault("%s applies version %d twice", f.name, u.Version)
 	}
 	if u.Settled < f.settled {
-		w.fault("%s goes from settled %d back to %d", f.name, f.settled, u.Settled)
+		w.Fault("%s goes from settled %d back to %d", f.name, f.settled, u.Settled)
 	}
 	f.used, f.settled = u.Version, u.Settled
 	f.holds(u)
@@ -235,18 +235,18 @@
 func (f *follower) holds(u *distribution.InUse) {
 	w := f.w
 	if u.Version > w.log.Version {
-		w.fault("%s has version %d, and the log %d", f.name, u.Version, w.log.Version)
+		w.Fault("%s has version %d, and the log %d", f.name, u.Version, w.log.Version)
 		return
 	}
 	if sum := u.Set.Sum(); sum != w.versions[u.Version].hash {
-		w.fault("%s has what is not version %d", f.name, u.Version)
+		w.Fault("%s has what is not version %d", f.name, u.Version)
 	}
 	if u.Settled > w.mostSettled {
-		w.fault("%s has version %d as settled, and the log %d", f.name, u.Settled, w.mostSettled)
+		w.Fault("%s has version %d as settled, and the log %d", f.name, u.Settled, w.mostSettled)
 		return
 	}
 	if f.refuses && w.versions[u.Version].bad {
-		w.fault("%s decides by version %d, and can't", f.name, u.Version)
+		w.Fault("%s decides by version %d, and can't", f.name, u.Version)
 	}
 	f.ceilings = [plans]float64{}
 	if u.Version == 0 {
@@ -255,12 +255,12 @@
 	for i := range plans {
 		p, err := u.Plan(planKey(i))
 		if err != nil {
-			w.fault("%s: %v", f.name, err)
+			w.Fault("%s: %v", f.name, err)
 			continue
 		}
 		f.ceilings[i] = p.CeilingRate
 		if s := w.versions[u.Settled].ceilings[i]; u.Settled > 0 && p.CeilingRate > s {
-			w.fault("%s: the ceiling of plan %d is raised from %v to %v with version %d, and %d has settled", f.name, i, s, p.CeilingRate, u.Version, u.Settled)
+			w.Fault("%s: the ceiling of plan %d is raised from %v to %v with version %d, and %d has settled", f.name, i, s, p.CeilingRate, u.Version, u.Settled)
 		}
 	}
 }
--- a/internal/distsim/scenario.go
+++ b/internal/distsim/scenario.go
@@ -144,10 +144,10 @@
 						w.Report.Conflicts++
 					}
 					if err == nil && w.requests[e.Request] != 1 {
-						w.fault("%s was told that %s is done, and it made %d versions", e.By, e.Request, w.requests[e.Request])
+						w.Fault("%s was told that %s is done, and it made %d versions", e.By, e.Request, w.requests[e.Request])
 					}
 					if err != nil && w.requests[e.Request] != 0 {
-						w.fault("%s was told of %s that it is not done (%v), and it is", e.By, e.Request, err)
+						w.Fault("%s was told of %s that it is not done (%v), and it is", e.By, e.Request, err)
 					}
 				})
 			})
@@ -171,14 +171,14 @@
 		end()
 		w.active--
 		w.quiet = w.Now()
-		w.note("%d faults are on", w.active)
+		w.Note("%d faults are on", w.active)
 	})
 }
 
 // trouble causes one fault, and plans its end.
 func (w *World) trouble() {
 	kind := w.Trouble[w.rng.IntN(len(w.Trouble))]
-	w.note("trouble: %s", kind)
+	w.Note("trouble: %s", kind)
 	w.Report.Troubles++
 	c := w.coordinators[w.rng.IntN(len(w.coordinators))]
 	if lead := w.leader(); lead != nil && (len(kind) > 6 && kind[:6] == "leader" || w.rng.IntN(3) == 0) {
--- a/internal/distsim/world.go
+++ b/internal/distsim/world.go
@@ -38,16 +38,12 @@
 	disturbed bool // by a fault since it was committed
 }
 
-// mostFaults is how many faults a run notes; it ends with the last of them.
-const mostFaults = 20
-
 // World is one run.
 type World struct {
 	Scenario
 	virtualtime.Scheduler
-	rng    *rand.Rand
-	tell   func(time.Duration, string)
-	faults []string
+	virtualtime.Recorder
+	rng *rand.Rand
 
 	coordinators []*coordinator
 	followers    []*follower
@@ -83,20 +79,6 @@
 	}
 }
 
-func (w *World) fault(format string, args ...any) {
-	f := fmt.Sprintf("%9.3f s: ", w.Now().Seconds()) + fmt.Sprintf(format, args...)
-	if len(w.faults) < mostFaults {
-		w.faults = append(w.faults, f)
-	}
-	w.note("FAULT %s", f)
-}
-
-func (w *World) note(format string, args ...any) {
-	if w.tell != nil {
-		w.tell(w.Now(), fmt.Sprintf(format, args...))
-	}
-}
-
 func (w *World) drawRate() float64 { return 1 + 0.01*(2*w.rng.Float64()-1) }
 
 func (w *World) between(a, b time.Duration) time.Duration {
@@ -164,10 +146,10 @@
 			base = e.Back.Base
 		}
 		if err != nil || v != was+1 || base != was {
-			w.fault("a change from version %d makes version %d of %d (%v)", base, v, was, err)
+			w.Fault("a change from version %d makes version %d of %d (%v)", base, v, was, err)
 		}
 		if w.requests[e.Request]++; w.requests[e.Request] > 1 {
-			w.fault("request %s counts twice", e.Request)
+			w.Fault("request %s counts twice", e.Request)
 		}
 		next := version{hash: w.log.Set().Sum(), at: w.Now()}
 		_, next.bad = w.log.Set()[bad]
@@ -179,18 +161,18 @@
 		w.versions = append(w.versions, next)
 		w.pending = append(w.pending, pending{v, w.Now(), w.active > 0})
 		w.Report.Versions++
-		w.note("version %d is committed, by %s", v, e.Request)
+		w.Note("version %d is committed, by %s", v, e.Request)
 	}
 	if w.log.Halt != nil && w.versions[w.log.Version].halted == 0 {
 		w.versions[w.log.Version].halted = w.Now()
 		w.Report.Halts++
-		w.note("%v", w.log.Halt)
+		w.Note("%v", w.log.Halt)
 		// It is not to be in force anywhere else.
 		w.pending = slices.DeleteFunc(w.pending, func(p pending) bool { return p.version == w.log.Version })
 	}
 	if e.Settle > 0 && w.log.Settled == e.Settle {
 		w.Report.Settles++
-		w.note("version %d has settled", e.Settle)
+		w.Note("version %d has settled", e.Settle)
 	}
 	w.mostSettled = max(w.mostSettled, w.log.Settled)
 	w.ceilings()
@@ -212,7 +194,7 @@
 		slack = time.Duration(1.02 * float64(w.Timing.Fresh))
 	}
 	if h := w.versions[v].halted; h > 0 && w.Now() > h+slack && f.disk.kept() != nil && f.disk.version < v {
-		w.fault("%s is given version %d, which was halted at %.3f s", f.name, v, h.Seconds())
+		w.Fault("%s is given version %d, which was halted at %.3f s", f.name, v, h.Seconds())
 	}
 }
 
@@ -241,7 +223,7 @@
 			most = max(most, w.versions[v].ceilings[i])
 		}
 		if sum[i] > most*(1+1e-9) {
-			w.fault("plan %d: all together %v, and %v is the most of versions %d to %d", i, sum[i], most, w.log.Settled, w.log.Version)
+			w.Fault("plan %d: all together %v, and %v is the most of versions %d to %d", i, sum[i], most, w.log.Settled, w.log.Version)
 		}
 	}
 }
@@ -266,7 +248,7 @@
 		took := w.Now() - max(p.since, w.quiet)
 		if least < p.version {
 			if took > Within {
-				w.fault("version %d is not in force everywhere %v after its commit or the last fault's end: %s", p.version, took, w.behind(p.version))
+				w.Fault("version %d is not in force everywhere %v after its commit or the last fault's end: %s", p.version, took, w.behind(p.version))
 				return true
 			}
 			return false
@@ -294,8 +276,9 @@
 
 // Run plays a scenario. tell gets a line for each thing that happens; nil for none.
 func Run(s Scenario, tell func(time.Duration, string)) Report {
-	w := &World{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 43)), tell: tell, cut: map[int]func(from, to end) bool{}, log: distribution.NewCatalog(),
+	w := &World{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 43)), cut: map[int]func(from, to end) bool{}, log: distribution.NewCatalog(),
 		versions: []version{{hash: distribution.Set{}.Sum()}}, requests: map[string]int{}}
+	w.Recorder = virtualtime.NewRecorder(&w.Scheduler, tell)
 	for i := range 3 {
 		w.coordinators = append(w.coordinators, newCoordinator(w, uint64(i+1), i/2))
 	}
@@ -316,7 +299,7 @@
 		w.After(tick, sample)
 	}
 	sample()
-	for len(w.faults) < mostFaults {
+	for len(w.Faults()) < virtualtime.MostFaults {
 		event, more := w.Next(w.End)
 		if !more {
 			break
@@ -325,9 +308,9 @@
 		event.Do()
 	}
 	if w.Report.Versions < 3 {
-		w.fault("%d versions: too little to show anything", w.Report.Versions)
+		w.Fault("%d versions: too little to show anything", w.Report.Versions)
 	}
-	w.Report.Faults = w.faults
+	w.Report.Faults = w.Faults()
 	return w.Report
 }
 
--- a/internal/fleetsim/member.go
+++ b/internal/fleetsim/member.go
@@ -190,7 +190,7 @@
 			if truth := m.truth(); m.w.Way != Agreed {
 				// Nothing bounds it.
 			} else if truth.granted == 0 {
-				m.w.fault("%s goes out with no grant", m.name())
+				m.w.Fault("%s goes out with no grant", m.name())
 			} else {
 				// It was asked for so long ago at most.
 				m.w.checkGrant(truth, m.w.slack()+time.Duration(1.02*float64(m.cfg.Begin)))
@@ -199,8 +199,8 @@
 			m.terminate(time.Duration((0.3 + m.w.rng.Float64()*2) * float64(time.Second)))
 		case a.Kill:
 			m.exit(m.prog.boot, "killed")
-		case a.Note != "" && m.w.tell != nil:
-			m.w.note("%s: %s", m.name(), a.Note)
+		case a.Note != "":
+			m.w.Note("%s: %s", m.name(), a.Note)
 		}
 	}
 	truth := m.truth()
@@ -236,7 +236,7 @@
 // launch starts the program, as well as its version does.
 func (m *member) launch(version string) {
 	if m.prog.running {
-		m.w.fault("%s: a second program is started beside the first", m.name())
+		m.w.Fault("%s: a second program is started beside the first", m.name())
 		return
 	}
 	w := m.w
@@ -381,11 +381,11 @@
 func (w *World) given(m *member, c *coordinator, o *rollout.Order) {
 	if m.granted != o.Fence {
 		w.Report.Orders++
-		w.note("%s is given order %d (%s %s) by coordinator %d", m.name(), o.Fence, o.Kind, o.Version, c.id)
+		w.Note("%s is given order %d (%s %s) by coordinator %d", m.name(), o.Fence, o.Kind, o.Version, c.id)
 	}
 	if seat := c.r.State().Members[m.name()]; seat != nil && seat.Grant != nil {
 		if at, halted := w.halted[seat.Grant.Rollout]; halted && w.Now()-at > w.slack() && m.granted != o.Fence {
-			w.fault("%s is given order %d, of %s, which was halted at %v", m.name(), o.Fence, seat.Grant.Rollout, at)
+			w.Fault("%s is given order %d, of %s, which was halted at %v", m.name(), o.Fence, seat.Grant.Rollout, at)
 		}
 	}
 	m.granted = o.Fence
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"wickarch/internal/virtualtime"
 	"wickarch/rollout"
 )
 
@@ -117,7 +118,8 @@
 // build sets the world up: all up, serving and proven.
 func (w *World) build() {
 	for i := range w.Coordinators {
-		w.coordinators = append(w.coordinators, &coordinator{w: w, id: uint64(i + 1), place: i, clock: w.drawClock()})
+		c := &coordinator{w: w, id: uint64(i + 1), place: i, clock: w.drawClock(), Process: virtualtime.NewProcess(&w.Scheduler)}
+		w.coordinators = append(w.coordinators, c)
 	}
 	w.slots = slices.Clone(w.coordinators)
 	peers := map[uint64]string{}
@@ -205,7 +207,7 @@
 func (w *World) firstBad() {
 	if w.badAt == 0 {
 		w.badAt = w.Now()
-		w.note("the first bad answer of a release")
+		w.Note("the first bad answer of a release")
 	}
 }
 
@@ -213,7 +215,7 @@
 func (w *World) startRollout(id string, role string, v string, after string) {
 	gate := w.Gate
 	w.order(rollout.Entry{By: "op", Start: &rollout.Spec{ID: id, Role: role, Version: v, After: after, Waves: w.Waves, Gate: gate}}, func(err error) {
-		w.note("start of %s: %v", id, err)
+		w.Note("start of %s: %v", id, err)
 		if err == nil {
 			w.ordered[id] = true
 		}
@@ -328,7 +330,7 @@
 	e.By = "op"
 	w.order(e, func(err error) {
 		w.lifting[id]--
-		w.note("%s of %s: %v", what, id, err)
+		w.Note("%s of %s: %v", what, id, err)
 	})
 }
 
@@ -345,7 +347,7 @@
 	halt := func() {
 		delete(w.lifted, id)
 		w.order(rollout.Entry{By: "op", HaltOf: rollout.HaltFor(id, &rollout.HaltedByOperator{By: "op", Why: "to look"})}, func(err error) {
-			w.note("halt of %s: %v", id, err)
+			w.Note("halt of %s: %v", id, err)
 			if err == nil && !w.lifted[id] && w.lifting[id] == 0 {
 				w.halted[id] = w.Now()
 			}
@@ -363,9 +365,9 @@
 		w.After(w.between(0, time.Second), resume)
 		w.After(w.between(0, time.Second), func() { w.goBack(id) })
 	default:
-		w.order(rollout.Entry{By: "op", Drain: m}, func(err error) { w.note("drain of %s: %v", m, err) })
+		w.order(rollout.Entry{By: "op", Drain: m}, func(err error) { w.Note("drain of %s: %v", m, err) })
 		w.After(w.between(0, 150*time.Second), func() {
-			w.order(rollout.Entry{By: "op", Undrain: m}, func(err error) { w.note("undrain of %s: %v", m, err) })
+			w.order(rollout.Entry{By: "op", Undrain: m}, func(err error) { w.Note("undrain of %s: %v", m, err) })
 		})
 	case 5:
 		w.goBack(id)
--- a/internal/fleetsim/trouble.go
+++ b/internal/fleetsim/trouble.go
@@ -21,7 +21,7 @@
 		kinds = Troubles
 	}
 	kind := kinds[w.rng.IntN(len(kinds))]
-	w.note("trouble: %s", kind)
+	w.Note("trouble: %s", kind)
 	c := w.slots[w.rng.IntN(len(w.slots))]
 	if lead := w.leader(); lead != nil && (kind == "leader pauses" || kind == "leader dies" || w.rng.IntN(3) == 0) {
 		c = lead
@@ -186,7 +186,7 @@
 
 // mend ends all faults that do not end by themselves.
 func (w *World) mend() {
-	w.note("all faults are over")
+	w.Note("all faults are over")
 	w.calm = true
 	clear(w.cut)
 	w.loss = 0
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -24,8 +24,8 @@
 type World struct {
 	Scenario
 	virtualtime.Scheduler
-	rng  *rand.Rand
-	tell func(time.Duration, string)
+	virtualtime.Recorder
+	rng *rand.Rand
 
 	coordinators []*coordinator // by number less one, those that were replaced among them
 	slots        []*coordinator // by the place that agents ask
@@ -37,8 +37,7 @@
 
 	halted         map[string]time.Duration // rollouts whose halt an operator was told to be in force
 	ordered        map[string]bool          // rollouts that were started, as operators were told
-	faults         []string
-	calm           bool // all faults are over
+	calm           bool                     // all faults are over
 	badAt, startAt time.Duration
 	lifted         map[string]bool // rollouts whose halt an operator has ordered lifted since
 	lifting        map[string]int  // such orders on their way
@@ -72,20 +71,6 @@
 // ends of links: coordinators from 0 by place, agents from agentEnd.
 const agentEnd = 1000
 
-func (w *World) fault(format string, args ...any) {
-	f := fmt.Sprintf("%9.3f s: ", w.Now().Seconds()) + fmt.Sprintf(format, args...)
-	if len(w.faults) < 20 {
-		w.faults = append(w.faults, f)
-	}
-	w.note("FAULT %s", f)
-}
-
-func (w *World) note(format string, args ...any) {
-	if w.tell != nil {
-		w.tell(w.Now(), fmt.Sprintf(format, args...))
-	}
-}
-
 // carry delivers something from an end to another, late or not at all.
 func (w *World) carry(from, to int, do func()) {
 	if w.cut[[2]int{from, to}] || w.loss > 0 && w.rng.Float64() < w.loss {
@@ -116,42 +101,40 @@
 	clock clock
 	r     *replica.Replica // nil while down
 	disk  disk
-	life  int
-	until time.Duration // paused until then
-	held  []func()      // what came meanwhile
-	dead  bool          // for good
-	lost  bool          // its disk is to be replaced
+	dead  bool // for good
+	lost  bool // its disk is to be replaced
+
+	virtualtime.Process
 }
 
 func (c *coordinator) start() {
 	if c.dead || c.r != nil {
 		return
 	}
-	c.life++
+	c.Begin()
 	stored, err := c.disk.load()
 	if err != nil {
-		c.w.note("coordinator %d does not start: %v", c.id, err)
+		c.w.Note("coordinator %d does not start: %v", c.id, err)
 		c.dead = true
 		return
 	}
 	r, err := replica.New(replica.Config{ID: c.id, Rollout: c.w.Config, Tick: c.w.RaftTick, Election: 6, Compact: 200, Decide: c.w.Decide},
-		stored, &c.disk, c.w.Seed*31+c.id+uint64(c.life)<<40, c.clock.of(c.w.Now()))
+		stored, &c.disk, c.w.Seed*31+c.id+uint64(c.Life())<<40, c.clock.of(c.w.Now()))
 	if err != nil {
-		c.w.note("coordinator %d does not start: %v", c.id, err)
+		c.w.Note("coordinator %d does not start: %v", c.id, err)
 		c.dead = true
 		return
 	}
-	c.w.note("coordinator %d starts", c.id)
+	c.w.Note("coordinator %d starts", c.id)
 	c.r = r
-	c.until, c.held = 0, nil
-	life := c.life
+	life := c.Life()
 	var tick func()
 	tick = func() {
-		if c.life != life || c.r == nil {
+		if c.Life() != life || c.r == nil {
 			return
 		}
-		if c.w.Now() < c.until {
-			c.w.At(c.until, tick)
+		if c.Paused() {
+			c.w.At(c.Resumes(), tick)
 			return
 		}
 		c.do(func() { c.r.Tick(c.clock.of(c.w.Now())) })
@@ -164,20 +147,14 @@
 	if c.r == nil {
 		return
 	}
-	c.w.note("coordinator %d dies", c.id)
-	c.r, c.held = nil, nil
-	c.life++
+	c.w.Note("coordinator %d dies", c.id)
+	c.r = nil
+	c.End()
 }
 
 // do runs something at the coordinator, and sends what comes of it.
 func (c *coordinator) do(f func()) {
-	if c.r == nil {
-		return
-	}
-	if c.w.Now() < c.until {
-		if len(c.held) < 5000 {
-			c.held = append(c.held, f)
-		}
+	if c.r == nil || c.Hold(f) {
 		return
 	}
 	led := c.r.Leading()
@@ -187,7 +164,7 @@
 	}
 	if !led && c.r.Leading() {
 		c.w.Report.Leaders++
-		c.w.note("coordinator %d leads in term %d", c.id, c.r.Term())
+		c.w.Note("coordinator %d leads in term %d", c.id, c.r.Term())
 	}
 	for _, m := range c.r.Take() {
 		to := c.w.coordinator(m.To)
@@ -200,14 +177,14 @@
 		})
 	}
 	if err := c.r.Err(); err != nil {
-		c.w.note("coordinator %d stops: %v", c.id, err)
+		c.w.Note("coordinator %d stops: %v", c.id, err)
 		switch err.(type) {
 		case *replica.LogBehind, *replica.LogSplit:
 			c.dead = true // its operator replaces it, as the remedy says
 			c.w.After(c.w.between(2*time.Second, 20*time.Second), func() { c.w.replace(c.place) })
 		}
 		c.r = nil
-		c.life++
+		c.End()
 	}
 }
 
@@ -215,19 +192,8 @@
 	if c.r == nil {
 		return
 	}
-	c.w.note("coordinator %d is paused for %v", c.id, d)
-	c.until = c.w.Now() + d
-	life := c.life
-	c.w.At(c.until, func() {
-		if c.life != life {
-			return
-		}
-		held := c.held
-		c.held = nil
-		for _, f := range held {
-			c.do(f)
-		}
-	})
+	c.w.Note("coordinator %d is paused for %v", c.id, d)
+	c.Pause(d, c.do)
 }
 
 func (w *World) coordinator(id uint64) *coordinator {
@@ -240,7 +206,7 @@
 // leader is the coordinator that leads in the highest term; nil for none.
 func (w *World) leader() (lead *coordinator) {
 	for _, c := range w.coordinators {
-		if c.r != nil && c.r.Leading() && w.Now() >= c.until && (lead == nil || c.r.Term() > lead.r.Term()) {
+		if c.r != nil && c.r.Leading() && !c.Paused() && (lead == nil || c.r.Term() > lead.r.Term()) {
 			lead = c
 		}
 	}
@@ -253,7 +219,7 @@
 		n := 0
 		for _, id := range ids {
 			o := w.coordinator(id)
-			if o.r != nil && w.Now() >= o.until && !w.cut[[2]int{c.place, o.place}] && !w.cut[[2]int{o.place, c.place}] {
+			if o.r != nil && !o.Paused() && !w.cut[[2]int{c.place, o.place}] && !w.cut[[2]int{o.place, c.place}] {
 				n++
 			}
 		}
@@ -283,11 +249,11 @@
 		return
 	}
 	id := uint64(len(w.coordinators) + 1)
-	w.note("coordinator %d is to take the place of %d", id, old.id)
+	w.Note("coordinator %d is to take the place of %d", id, old.id)
 	if _, there := lead.r.Peers()[old.id]; !there {
 		return
 	}
-	c := &coordinator{w: w, id: id, place: place, clock: old.clock}
+	c := &coordinator{w: w, id: id, place: place, clock: old.clock, Process: virtualtime.NewProcess(&w.Scheduler)}
 	c.disk.w = w
 	old.kill()
 	old.dead = true
@@ -344,7 +310,7 @@
 			}
 		}
 		c := w.slots[place]
-		if c.r != nil && w.Now() >= c.until {
+		if c.r != nil && !c.Paused() {
 			c.do(func() {
 				c.r.Order(c.clock.of(w.Now()), e, func(err error) { w.After(time.Millisecond, func() { answer(err) }) })
 			})
@@ -405,7 +371,7 @@
 			}
 		}
 		if covers {
-			w.fault("%s is granted out past %v: %s", m.cfg.Member.Name, over, w.whoIsOut(slack))
+			w.Fault("%s is granted out past %v: %s", m.cfg.Member.Name, over, w.whoIsOut(slack))
 		}
 	}
 }
@@ -424,9 +390,10 @@
 
 // Run plays a scenario. tell gets a line for each thing that happens; nil for none.
 func Run(s Scenario, tell func(time.Duration, string)) Report {
-	w := &World{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 77)), tell: tell, byName: map[string]*member{}, cut: map[[2]int]bool{},
+	w := &World{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 77)), byName: map[string]*member{}, cut: map[[2]int]bool{},
 		halted: map[string]time.Duration{}, ordered: map[string]bool{},
 		lifted: map[string]bool{}, lookedAt: map[string]*int{}, lifting: map[string]int{}}
+	w.Recorder = virtualtime.NewRecorder(&w.Scheduler, tell)
 	w.Report = Report{Halted: -1, Undone: -1, Took: -1, Rollouts: map[string]int{}}
 	w.build()
 	w.plan()
@@ -446,7 +413,7 @@
 	}
 	w.Report.Leaderless, w.Report.Span = leaderless, w.Now()
 	w.finish()
-	w.Report.Faults = w.faults
+	w.Report.Faults = w.Faults()
 	return w.Report
 }
 
@@ -507,7 +474,7 @@
 	lead := w.leader()
 	if lead == nil {
 		if w.majority() {
-			w.fault("nobody leads at the end, though a majority could")
+			w.Fault("nobody leads at the end, though a majority could")
 		}
 		w.Report.Rollouts["no majority"]++
 		return
@@ -515,12 +482,12 @@
 	state := lead.r.State()
 	for id := range w.ordered {
 		if state.Rollout(id) == nil && state.Stop == nil {
-			w.fault("rollout %s was taken, and is not there", id)
+			w.Fault("rollout %s was taken, and is not there", id)
 		}
 	}
 	for id, at := range w.halted {
 		if r := state.Rollout(id); r != nil && r.Halt == nil && !r.Phase.Ended() && state.Stop == nil {
-			w.fault("the halt of %s of %v is lost", id, at)
+			w.Fault("the halt of %s of %v is lost", id, at)
 		}
 	}
 	for _, r := range state.Rollouts {
@@ -535,7 +502,7 @@
 		w.Report.Rollouts[how]++
 		if !r.Phase.Ended() && r.Halt == nil && state.Stop == nil && r.Phase != rollout.Waiting {
 			status, _ := lead.r.Status(lead.clock.of(w.Now()))
-			w.fault("rollout %s neither ends nor halts: %s", r.ID, line(status, r.ID))
+			w.Fault("rollout %s neither ends nor halts: %s", r.ID, line(status, r.ID))
 		}
 	}
 }
