Keep the raft library quiet by one logger, internal/raftlog

replica and distsim each had one. Panics of the library go on to carry their line, now in distsim formatted as well.

--- a/internal/distsim/coordinator.go
+++ b/internal/distsim/coordinator.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wickarch/distribution"
+	"wickarch/internal/raftlog"
 	"wickarch/internal/virtualtime"
 )
 
@@ -56,7 +57,7 @@
 	}
 	var err error
 	c.node, err = raft.NewRawNode(&raft.Config{ID: c.id, ElectionTick: election, HeartbeatTick: 1, Storage: c.log, Applied: 1, MaxSizePerMsg: 1 << 20,
-		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: quiet{}})
+		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: raftlog.Silent{}})
 	c.w.must(err)
 	c.catalog, c.waiting, c.polls = distribution.NewCatalog(), map[string]func(error){}, map[string]func(uint64, distribution.Reply){}
 	c.Begin()
@@ -251,19 +252,3 @@
 	}
 	send(q.Number, r)
 }
-
-// quiet drops the library's log lines.
-type quiet struct{}
-
-func (quiet) Debug(...any)              {}
-func (quiet) Debugf(string, ...any)     {}
-func (quiet) Info(...any)               {}
-func (quiet) Infof(string, ...any)      {}
-func (quiet) Warning(...any)            {}
-func (quiet) Warningf(string, ...any)   {}
-func (quiet) Error(...any)              {}
-func (quiet) Errorf(string, ...any)     {}
-func (quiet) Fatal(v ...any)            { panic(v) }
-func (quiet) Fatalf(f string, _ ...any) { panic(f) }
-func (quiet) Panic(v ...any)            { panic(v) }
-func (quiet) Panicf(f string, _ ...any) { panic(f) }
--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -23,6 +23,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wickarch/distribution"
+	"wickarch/internal/raftlog"
 	"wickarch/rollout"
 )
 
@@ -172,7 +173,7 @@
 		var err error
 		r.node, err = raft.NewRawNode(&raft.Config{ID: cfg.ID, ElectionTick: cfg.Election, HeartbeatTick: 1, Storage: r.log, Applied: r.applied,
 			MaxSizePerMsg: 256 << 10, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 4 << 20, CheckQuorum: true, PreVote: true,
-			DisableProposalForwarding: true, Logger: quiet{}})
+			DisableProposalForwarding: true, Logger: raftlog.Silent{}}) // what its lines would tell stands in Status
 		return err
 	})
 	if err != nil {
@@ -715,20 +716,3 @@
 	}
 	return nil
 }
-
-// quiet drops the library's log lines; what they would tell stands in Status. Its
-// panics are kept, as guard needs them.
-type quiet struct{}
-
-func (quiet) Debug(...any)              {}
-func (quiet) Debugf(string, ...any)     {}
-func (quiet) Info(...any)               {}
-func (quiet) Infof(string, ...any)      {}
-func (quiet) Warning(...any)            {}
-func (quiet) Warningf(string, ...any)   {}
-func (quiet) Error(...any)              {}
-func (quiet) Errorf(string, ...any)     {}
-func (quiet) Fatal(v ...any)            { panic(fmt.Sprint(v...)) }
-func (quiet) Fatalf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
-func (quiet) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
-func (quiet) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
