Decode a coordinator's calls in one place, a method for each

A generic wrapper decodes; routes lists paths, bounds and times. Paths, answers and errors stay. Tests of coordinator pass, and those of fleetproc, which run fleets of processes (76 s).

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -229,9 +229,23 @@
 	}
 }
 
+// handler answers a call: with what is to be its answer's body, or an error.
+type handler func(ctx context.Context, body []byte) (any, error)
+
+// decoded makes a handler of a function that takes the body as a value.
+func decoded[T any](handle func(ctx context.Context, in T) (any, error)) handler {
+	return func(ctx context.Context, body []byte) (any, error) {
+		var in T
+		if err := json.Unmarshal(body, &in); err != nil {
+			return nil, &rollout.BadRequest{What: err.Error()}
+		}
+		return handle(ctx, in)
+	}
+}
+
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
-	handle := func(pattern string, most int64, wait time.Duration, f func(ctx context.Context, body []byte) (any, error)) {
+	handle := func(pattern string, most int64, wait time.Duration, f handler) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 			if err != nil {
@@ -244,125 +258,114 @@
 			s.answer(w, out, err)
 		})
 	}
-	parse := func(body []byte, to any) error {
-		if err := json.Unmarshal(body, to); err != nil {
-			return &rollout.BadRequest{What: err.Error()}
-		}
-		return nil
-	}
-	handle("POST "+rolloutlink.PathReport, rolloutlink.MostReport, callTime, func(ctx context.Context, body []byte) (any, error) {
-		var report rollout.Report
-		if err := parse(body, &report); err != nil {
-			return nil, err
-		}
-		var reply rollout.Reply
-		err := s.do(ctx, func(done func(error)) {
-			var err error
-			reply, err = s.replica.Report(s.now(), report)
-			done(err)
-		})
-		return reply, err
+	handle("POST "+rolloutlink.PathReport, rolloutlink.MostReport, callTime, decoded(s.report))
+	handle("POST "+rolloutlink.PathOrder, rolloutlink.MostOrder, orderTime, decoded(s.order))
+	handle("POST "+rolloutlink.PathReplace, rolloutlink.MostOrder, callTime, decoded(s.replace))
+	handle("GET "+rolloutlink.PathStatus, 0, callTime, s.status)
+	handle("POST "+rolloutlink.PathConfigPoll, rolloutlink.MostReport, pollTime, decoded(s.configPoll))
+	handle("POST "+rolloutlink.PathConfigOrder, rolloutlink.MostConfig, orderTime, decoded(s.configOrder))
+	handle("GET "+rolloutlink.PathConfig, 0, callTime, s.config)
+	handle("GET "+rolloutlink.PathConfigStatus, 0, callTime, s.configStatus)
+	handle("POST "+rolloutlink.PathRaft, rolloutlink.MostRaft, callTime, decoded(s.raft))
+	return mux
+}
+
+func (s *Server) report(ctx context.Context, report rollout.Report) (any, error) {
+	var reply rollout.Reply
+	err := s.do(ctx, func(done func(error)) {
+		var err error
+		reply, err = s.replica.Report(s.now(), report)
+		done(err)
 	})
-	handle("POST "+rolloutlink.PathOrder, rolloutlink.MostOrder, orderTime, func(ctx context.Context, body []byte) (any, error) {
-		var e rollout.Entry
-		if err := parse(body, &e); err != nil {
-			return nil, err
-		}
-		if err := e.CheckOrder(); err != nil {
-			return nil, err
+	return reply, err
+}
+
+func (s *Server) order(ctx context.Context, e rollout.Entry) (any, error) {
+	if err := e.CheckOrder(); err != nil {
+		return nil, err
+	}
+	err := s.do(ctx, func(done func(error)) { s.replica.Order(s.now(), e, done) })
+	s.log.Info("order", "by", e.By, "request", e.Request, "error", err)
+	return struct{}{}, err
+}
+
+func (s *Server) replace(ctx context.Context, r rolloutlink.Replace) (any, error) {
+	return struct{}{}, s.do(ctx, func(done func(error)) { done(s.replica.Replace(s.now(), r.Old, r.New, r.Address)) })
+}
+
+func (s *Server) status(ctx context.Context, _ []byte) (any, error) {
+	var status json.RawMessage // made on the goroutine that owns what it tells of
+	err := s.do(ctx, func(done func(error)) {
+		st, err := s.replica.Status(s.now())
+		if err == nil {
+			status, err = json.Marshal(rolloutlink.Status{Status: st, Coordinator: s.cfg.ID, Coordinators: s.replica.Peers()})
 		}
-		err := s.do(ctx, func(done func(error)) { s.replica.Order(s.now(), e, done) })
-		s.log.Info("order", "by", e.By, "request", e.Request, "error", err)
-		return struct{}{}, err
+		done(err)
 	})
-	handle("POST "+rolloutlink.PathReplace, rolloutlink.MostOrder, callTime, func(ctx context.Context, body []byte) (any, error) {
-		var r rolloutlink.Replace
-		if err := parse(body, &r); err != nil {
-			return nil, err
-		}
-		return struct{}{}, s.do(ctx, func(done func(error)) { done(s.replica.Replace(s.now(), r.Old, r.New, r.Address)) })
+	return status, err
+}
+
+func (s *Server) configPoll(ctx context.Context, poll distribution.Poll) (any, error) {
+	var reply distribution.Reply
+	err := s.do(ctx, func(done func(error)) {
+		s.replica.Poll(s.now(), poll, func(r distribution.Reply, err error) { reply = r; done(err) })
 	})
-	handle("GET "+rolloutlink.PathStatus, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
-		var status json.RawMessage // made on the goroutine that owns what it tells of
-		err := s.do(ctx, func(done func(error)) {
-			st, err := s.replica.Status(s.now())
-			if err == nil {
-				status, err = json.Marshal(rolloutlink.Status{Status: st, Coordinator: s.cfg.ID, Coordinators: s.replica.Peers()})
+	if err != nil {
+		return nil, err
+	}
+	return s.encoded.reply(reply)
+}
+
+func (s *Server) configOrder(ctx context.Context, e distribution.Entry) (any, error) {
+	if err := e.CheckOrder(); err != nil {
+		return nil, err
+	}
+	var made uint64
+	err := s.do(ctx, func(done func(error)) {
+		s.replica.Configure(s.now(), e, func(err error) {
+			if c, failed := s.replica.Catalog(); failed == nil {
+				made, _ = c.Made(e.Request)
 			}
 			done(err)
 		})
-		return status, err
 	})
-	handle("POST "+rolloutlink.PathConfigPoll, rolloutlink.MostReport, pollTime, func(ctx context.Context, body []byte) (any, error) {
-		var poll distribution.Poll
-		if err := parse(body, &poll); err != nil {
-			return nil, err
-		}
-		var reply distribution.Reply
-		err := s.do(ctx, func(done func(error)) {
-			s.replica.Poll(s.now(), poll, func(r distribution.Reply, err error) { reply = r; done(err) })
-		})
-		if err != nil {
-			return nil, err
+	s.log.Info("configuration", "by", e.By, "request", e.Request, "version", made, "error", err)
+	return rolloutlink.Ordered{Version: made}, err
+}
+
+func (s *Server) config(ctx context.Context, _ []byte) (any, error) {
+	var c rolloutlink.Config
+	err := s.do(ctx, func(done func(error)) {
+		catalog, err := s.replica.Catalog()
+		if err == nil {
+			c = rolloutlink.Config{State: distribution.State{Version: catalog.Version, Hash: catalog.Hash, Resources: catalog.Resources}, Oldest: catalog.Oldest()}
 		}
-		return s.encoded.reply(reply)
+		done(err)
 	})
-	handle("POST "+rolloutlink.PathConfigOrder, rolloutlink.MostConfig, orderTime, func(ctx context.Context, body []byte) (any, error) {
-		var e distribution.Entry
-		if err := parse(body, &e); err != nil {
-			return nil, err
-		}
-		if err := e.CheckOrder(); err != nil {
-			return nil, err
-		}
-		var made uint64
-		err := s.do(ctx, func(done func(error)) {
-			s.replica.Configure(s.now(), e, func(err error) {
-				if c, failed := s.replica.Catalog(); failed == nil {
-					made, _ = c.Made(e.Request)
-				}
-				done(err)
-			})
-		})
-		s.log.Info("configuration", "by", e.By, "request", e.Request, "version", made, "error", err)
-		return rolloutlink.Ordered{Version: made}, err
+	return c, err
+}
+
+func (s *Server) configStatus(ctx context.Context, _ []byte) (any, error) {
+	var status distribution.Status
+	err := s.do(ctx, func(done func(error)) {
+		var err error
+		status, err = s.replica.ConfigStatus(s.now())
+		done(err)
 	})
-	handle("GET "+rolloutlink.PathConfig, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
-		var c rolloutlink.Config
-		err := s.do(ctx, func(done func(error)) {
-			catalog, err := s.replica.Catalog()
-			if err == nil {
-				c = rolloutlink.Config{State: distribution.State{Version: catalog.Version, Hash: catalog.Hash, Resources: catalog.Resources}, Oldest: catalog.Oldest()}
+	return status, err
+}
+
+// raft takes messages of other coordinators; all of them, and the last error.
+func (s *Server) raft(ctx context.Context, batch rolloutlink.Raft) (any, error) {
+	return struct{}{}, s.do(ctx, func(done func(error)) {
+		var err error
+		for _, m := range batch.Messages {
+			if e := s.replica.Step(s.now(), m); e != nil {
+				err = e
 			}
-			done(err)
-		})
-		return c, err
-	})
-	handle("GET "+rolloutlink.PathConfigStatus, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
-		var status distribution.Status
-		err := s.do(ctx, func(done func(error)) {
-			var err error
-			status, err = s.replica.ConfigStatus(s.now())
-			done(err)
-		})
-		return status, err
-	})
-	handle("POST "+rolloutlink.PathRaft, rolloutlink.MostRaft, callTime, func(ctx context.Context, body []byte) (any, error) {
-		var batch rolloutlink.Raft
-		if err := parse(body, &batch); err != nil {
-			return nil, err
 		}
-		return struct{}{}, s.do(ctx, func(done func(error)) {
-			var err error
-			for _, m := range batch.Messages {
-				if e := s.replica.Step(s.now(), m); e != nil {
-					err = e
-				}
-			}
-			done(err)
-		})
+		done(err)
 	})
-	return mux
 }
 
 func (s *Server) answer(w http.ResponseWriter, out any, err error) {
