--- a/cmd/bench/capacity/coordinators.go
+++ b/cmd/bench/capacity/coordinators.go
@@ -129,7 +129,7 @@
 	Coordinators []string      `required:""`
 	Report       time.Duration `default:"1s"`
 
-	traffic           traffic
+	traffic           standin.Traffic
 	calls, unanswered atomic.Int64
 	late              atomic.Int64 // calls that took longer than Report
 }
@@ -169,8 +169,7 @@
 		if err != nil {
 			return nil, err
 		}
-		a.traffic.Conns.Add(1)
-		return countedConn{c, &a.traffic}, nil
+		return a.traffic.Counted(c), nil
 	}
 	defer t.CloseIdleConnections()
 	mail := make(chan func(), 16)
--- a/cmd/bench/capacity/discovery.go
+++ b/cmd/bench/capacity/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -25,7 +24,7 @@
 	Objects atomic.Int64 // told on watches, the first of each included
 	Beats   atomic.Int64 // empty lines
 	Down    atomic.Bool  // it answers nothing new, and watches are cut
-	Wire    traffic
+	Wire    standin.Traffic
 
 	mu       sync.Mutex
 	first    int // revision below which no change is kept
@@ -37,43 +36,6 @@
 	gone     chan struct{} // closed by Stop
 }
 
-// traffic counts what passes connections, in bytes, as the stand-in sees it.
-type traffic struct {
-	In, Out atomic.Int64
-	Conns   atomic.Int64 // opened
-}
-
-type countedConn struct {
-	net.Conn
-	w *traffic
-}
-
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.w.In.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.w.Out.Add(int64(n))
-	return n, err
-}
-
-type countedListener struct {
-	net.Listener
-	w *traffic
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.w.Conns.Add(1)
-	return countedConn{c, l.w}, nil
-}
-
 // member makes the i-th member of a list, of a size as the platform writes it.
 func member(i int, hostPort string) standin.Member {
 	return standin.Member{ID: fmt.Sprintf("s-%08x", uint32(i)*2654435761), HostPort: hostPort, Locality: zoneOf(i), Flavor: "std", Cell: i / 20,
@@ -110,7 +72,7 @@
 	d := &discovery{first: 1, revision: 1, members: list, changed: make(chan struct{}), gone: make(chan struct{})}
 	d.whole = line(object{1, true, list})
 	d.Server = httptest.NewUnstartedServer(http.HandlerFunc(d.serve))
-	d.Listener = countedListener{d.Listener, &d.Wire}
+	d.Listener = d.Wire.Listener(d.Listener)
 	d.Start()
 	return d
 }
--- a/cmd/bench/followers/main.go
+++ b/cmd/bench/followers/main.go
@@ -16,7 +16,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -55,34 +54,15 @@
 	k.FatalIfErrorf(line.Run())
 }
 
-// counter counts what passes a follower's connections, in bytes.
-type counter struct{ in, out atomic.Int64 }
-
-type counted struct {
-	net.Conn
-	c *counter
-}
-
-func (c counted) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.c.in.Add(int64(n))
-	return n, err
-}
-
-func (c counted) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.c.out.Add(int64(n))
-	return n, err
-}
-
-func (c *counter) client(patience time.Duration) *http.Client {
+// countedClient is a client of HTTP whose traffic is counted.
+func countedClient(patience time.Duration, traffic *standin.Traffic) *http.Client {
 	h := rolloutlink.NewHTTP(patience)
 	h.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := new(net.Dialer).DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return counted{nc, c}, nil
+		return traffic.Counted(nc), nil
 	}
 	return h
 }
@@ -92,7 +72,7 @@
 	run
 	control *fleetproc.Fleet
 	dir     string
-	bytes   counter
+	traffic standin.Traffic
 	mu      sync.Mutex
 	inForce map[uint64][]time.Time // of each version, at each follower
 	hollows []*hollow
@@ -126,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel, h.done = cancel, make(chan struct{})
 	cfg := follower.Config{Name: fmt.Sprint("h", h.n), Region: fmt.Sprint("r", h.n%2), Coordinators: h.fleet.control.Addresses, Dir: h.folder()}
-	client := h.fleet.bytes.client(cfg.Patience())
+	client := countedClient(cfg.Patience(), &h.fleet.traffic)
 	go func() {
 		defer close(h.done)
 		if h.fleet.Whole {
@@ -329,7 +309,7 @@
 	if err != nil {
 		return err
 	}
-	b0 := f.bytes.in.Load() + f.bytes.out.Load()
+	b0 := f.traffic.In.Load() + f.traffic.Out.Load()
 	begun := time.Now()
 	var took []time.Duration
 	set := f.set()
@@ -383,7 +363,7 @@
 	if err != nil {
 		return err
 	}
-	bytes := float64(f.bytes.in.Load()+f.bytes.out.Load()-b0) / lasted / float64(f.Followers)
+	bytes := float64(f.traffic.In.Load()+f.traffic.Out.Load()-b0) / lasted / float64(f.Followers)
 	own := ((f1 - f0) - (p1 - p0)).Seconds() / lasted
 	row := table.Row{name, changes, "", "", "", ""}
 	if len(took) > 0 {
@@ -465,7 +445,7 @@
 	f.mu.Lock()
 	f.inForce = map[uint64][]time.Time{}
 	f.mu.Unlock()
-	b0 := f.bytes.in.Load()
+	b0 := f.traffic.In.Load()
 	begun := time.Now()
 	for _, h := range zone {
 		h.has = 0
@@ -476,6 +456,6 @@
 		return err
 	}
 	fmt.Printf("\n%d started at once with empty folders: all decide by version %d after %v (of 4 s: %.3f); %d KB\n",
-		len(zone), state.Version, last.Sub(begun).Round(time.Millisecond), last.Sub(begun).Seconds()/budgetInForce.Seconds(), (f.bytes.in.Load()-b0)>>10)
+		len(zone), state.Version, last.Sub(begun).Round(time.Millisecond), last.Sub(begun).Seconds()/budgetInForce.Seconds(), (f.traffic.In.Load()-b0)>>10)
 	return nil
 }
