--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -15,6 +14,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"wickarch/internal/checksum"
 	"wickarch/rollout/replica"
 )
 
@@ -39,7 +39,6 @@
 	keyState      = []byte("state")
 	keySnapshot   = []byte("snapshot")
 	keyCount      = []byte("count")
-	castagnoli    = crc32.MakeTable(crc32.Castagnoli)
 )
 
 // The names of the log and of the count of its writes, in a coordinator's folder.
@@ -91,7 +90,7 @@
 		err = os.Rename(half, path)
 	}
 	if err == nil && count == 0 {
-		err = write(d.countPath(), sealed(binary.BigEndian.AppendUint64(nil, d.count)))
+		err = write(d.countPath(), checksum.Seal(binary.BigEndian.AppendUint64(nil, d.count)))
 	}
 	if err == nil {
 		err = syncFolder(dir)
@@ -303,7 +302,7 @@
 func (d *Disk) update(f func(meta, log *bbolt.Bucket) error) error {
 	err := d.commit(f)
 	if err == nil {
-		err = write(d.countPath(), sealed(binary.BigEndian.AppendUint64(nil, d.count)))
+		err = write(d.countPath(), checksum.Seal(binary.BigEndian.AppendUint64(nil, d.count)))
 	}
 	if err != nil {
 		return &DiskFailed{d.path, err}
@@ -364,12 +363,7 @@
 	return nil
 }
 
-// sealed puts data behind its checksum.
-func sealed(data []byte) []byte {
-	return append(binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), crc32.Checksum(data, castagnoli)), data...)
-}
-
-func put(b *bbolt.Bucket, key, data []byte) error { return b.Put(key, sealed(data)) }
+func put(b *bbolt.Bucket, key, data []byte) error { return b.Put(key, checksum.Seal(data)) }
 
 func get(b *bbolt.Bucket, key []byte) ([]byte, error) {
 	v := b.Get(key)
@@ -381,8 +375,9 @@
 
 // check takes the checksum off a value, and copies it: bbolt's memory is valid within a transaction alone.
 func check(v []byte) ([]byte, error) {
-	if len(v) < 4 || crc32.Checksum(v[4:], castagnoli) != binary.BigEndian.Uint32(v) {
+	data, ok := checksum.Open(v)
+	if !ok {
 		return nil, errors.New("the checksum does not fit")
 	}
-	return append([]byte{}, v[4:]...), nil
+	return append([]byte{}, data...), nil
 }
--- a/internal/follower/store.go
+++ b/internal/follower/store.go
@@ -1,11 +1,9 @@
 package follower
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"os"
 	"path/filepath"
 	"time"
@@ -14,6 +12,7 @@
 	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"wickarch/distribution"
+	"wickarch/internal/checksum"
 )
 
 // store keeps what is in force in one bbolt file: each write is whole or not at all, and
@@ -31,7 +30,6 @@
 	bucketHead      = []byte("head")
 	bucketResources = []byte("resources")
 	keyHead         = []byte("head")
-	castagnoli      = crc32.MakeTable(crc32.Castagnoli)
 )
 
 const (
@@ -192,14 +190,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(binary.BigEndian.AppendUint32(nil, crc32.Checksum(b, castagnoli)), b...), nil
+	return checksum.Seal(b), nil
 }
 
 var errChecksum = errors.New("the checksum is wrong")
 
 func unseal(b []byte, to any) error {
-	if len(b) < 4 || crc32.Checksum(b[4:], castagnoli) != binary.BigEndian.Uint32(b) {
+	data, ok := checksum.Open(b)
+	if !ok {
 		return errChecksum
 	}
-	return json.Unmarshal(b[4:], to)
+	return json.Unmarshal(data, to)
 }
