Play a seed alone, and add reports up, in one place each

The sums of reports stand beside the reports (distsim, simulate) and no longer in commands and a test.

--- a/cmd/bench/distribution/main.go
+++ b/cmd/bench/distribution/main.go
@@ -37,12 +37,9 @@
 // Run plays them.
 func (s *schedules) Run() error {
 	if s.Seed > 0 {
-		var tell func(time.Duration, string)
-		if s.Trace {
-			tell = func(at time.Duration, line string) { fmt.Printf("%10.3f %s\n", at.Seconds(), line) }
-		}
-		r := distsim.Run(s.draw(s.Seed), tell)
-		fmt.Printf("%+v\n", r)
+		r := sweep.Alone(os.Stdout, s.Flags, func(seed uint64, tell func(time.Duration, string)) distsim.Report {
+			return distsim.Run(s.draw(seed), tell)
+		})
 		if len(r.Faults) > 0 {
 			os.Exit(1)
 		}
@@ -52,7 +49,7 @@
 	var sum distsim.Report
 	bad := 0
 	played := sweep.Run(s.Seeds(), func(seed uint64) distsim.Report { return distsim.Run(s.draw(seed), nil) }, func(seed uint64, r distsim.Report) bool {
-		add(&sum, r)
+		sum.Add(r)
 		if len(r.Faults) > 0 {
 			bad++
 			for _, f := range r.Faults[:min(2, len(r.Faults))] {
@@ -72,21 +69,6 @@
 	return nil
 }
 
-func add(sum *distsim.Report, r distsim.Report) {
-	sum.Events += r.Events
-	sum.Polls += r.Polls
-	sum.NotTaken += r.NotTaken
-	sum.Versions += r.Versions
-	sum.Leaders += r.Leaders
-	sum.Halts += r.Halts
-	sum.Settles += r.Settles
-	sum.Conflicts += r.Conflicts
-	sum.Troubles += r.Troubles
-	sum.Apart = max(sum.Apart, r.Apart)
-	sum.Calm = append(sum.Calm, r.Calm...)
-	sum.After = append(sum.After, r.After...)
-}
-
 func quantiles(what string, list []time.Duration) {
 	if len(list) == 0 {
 		fmt.Printf("%s: none\n", what)
--- a/cmd/bench/rollouts/schedules.go
+++ b/cmd/bench/rollouts/schedules.go
@@ -25,12 +25,9 @@
 // Run plays them.
 func (s *schedules) Run() error {
 	if s.Seed > 0 {
-		var tell func(time.Duration, string)
-		if s.Trace {
-			tell = func(at time.Duration, line string) { fmt.Printf("%10.3f %s\n", at.Seconds(), line) }
-		}
-		r := fleetsim.Run(s.draw(s.Seed), tell)
-		fmt.Printf("%+v\n", r)
+		r := sweep.Alone(os.Stdout, s.Flags, func(seed uint64, tell func(time.Duration, string)) fleetsim.Report {
+			return fleetsim.Run(s.draw(seed), tell)
+		})
 		if len(r.Faults) > 0 {
 			os.Exit(1)
 		}
--- a/cmd/bench/seeds/main.go
+++ b/cmd/bench/seeds/main.go
@@ -78,15 +78,7 @@
 			bad++
 			fmt.Printf("seed %d: %s\n", seed, r.Faults[0])
 		}
-		sum.Requests += r.Requests
-		sum.Served += r.Served
-		sum.Refused += r.Refused
-		sum.Failed += r.Failed
-		sum.Unreached += r.Unreached
-		sum.Excused += r.Excused
-		sum.Runs += r.Runs
-		sum.Fallen += r.Fallen
-		sum.Coldest = max(sum.Coldest, r.Coldest)
+		sum.Add(r)
 		return !first || bad == 0
 	})
 	took := time.Since(began)
--- a/internal/distsim/world.go
+++ b/internal/distsim/world.go
@@ -73,6 +73,23 @@
 	Calm, After                                                                      []time.Duration // commit, or a fault's end, to in force at the last one
 }
 
+// Add adds the counts of another run, and its times.
+func (r *Report) Add(other Report) {
+	r.Events += other.Events
+	r.Polls += other.Polls
+	r.Applied += other.Applied
+	r.NotTaken += other.NotTaken
+	r.Versions += other.Versions
+	r.Leaders += other.Leaders
+	r.Halts += other.Halts
+	r.Settles += other.Settles
+	r.Conflicts += other.Conflicts
+	r.Troubles += other.Troubles
+	r.Apart = max(r.Apart, other.Apart)
+	r.Calm = append(r.Calm, other.Calm...)
+	r.After = append(r.After, other.After...)
+}
+
 func (w *World) must(err error) {
 	if err != nil {
 		panic(err) // of the model, and not of what it checks
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -246,6 +246,19 @@
 	Faults                                                []string // what must not happen and did
 }
 
+// Add adds the counts of another run; Coldest is the most of both.
+func (r *Report) Add(other Report) {
+	r.Requests += other.Requests
+	r.Served += other.Served
+	r.Refused += other.Refused
+	r.Failed += other.Failed
+	r.Unreached += other.Unreached
+	r.Excused += other.Excused
+	r.Runs += other.Runs
+	r.Fallen += other.Fallen
+	r.Coldest = max(r.Coldest, other.Coldest)
+}
+
 // run is one scenario at work.
 type run struct {
 	Scenario
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -102,10 +102,7 @@
 		for _, f := range got.Faults {
 			t.Errorf("seed %d (go run ./cmd/bench/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
 		}
-		sum.Requests += got.Requests
-		sum.Served += got.Served
-		sum.Fallen += got.Fallen
-		sum.Coldest = max(sum.Coldest, got.Coldest)
+		sum.Add(got)
 		return true
 	})
 	// So that a run in which nothing happens does not pass.
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -2,8 +2,11 @@
 package sweep
 
 import (
+	"fmt"
+	"io"
 	"runtime"
 	"sync"
+	"time"
 )
 
 // Flags are the command-line flags of a sweep, for package kong.
@@ -19,6 +22,18 @@
 // Seeds is the range that the flags name.
 func (f Flags) Seeds() Seeds { return Seeds{From: f.From, Count: f.Count, Jobs: f.Jobs} }
 
+// Alone plays the seed that the flags name, and prints what comes of it; before it, if the
+// flags ask for a trace, all that happens.
+func Alone[R any](w io.Writer, flags Flags, play func(seed uint64, tell func(time.Duration, string)) R) R {
+	var tell func(time.Duration, string)
+	if flags.Trace {
+		tell = func(at time.Duration, line string) { fmt.Fprintf(w, "%10.3f %s\n", at.Seconds(), line) }
+	}
+	result := play(flags.Seed, tell)
+	fmt.Fprintf(w, "%+v\n", result)
+	return result
+}
+
 // Seeds is a range of seeds.
 type Seeds struct {
 	From  uint64 // the first
--- a/internal/sweep/sweep_test.go
+++ b/internal/sweep/sweep_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Each seed of the range is played once and collected with its own result.
@@ -71,3 +73,20 @@
 		t.Errorf("%d played", played)
 	}
 }
+
+// A seed alone is printed, and all that happens before it where a trace is asked for.
+func TestAlone(t *testing.T) {
+	type report struct{ Seed uint64 }
+	for trace, want := range map[bool]string{false: "{Seed:7}\n", true: "     1.500 begins\n{Seed:7}\n"} {
+		var out strings.Builder
+		got := Alone(&out, Flags{Seed: 7, Trace: trace}, func(seed uint64, tell func(time.Duration, string)) report {
+			if tell != nil {
+				tell(1500*time.Millisecond, "begins")
+			}
+			return report{seed}
+		})
+		if got.Seed != 7 || out.String() != want {
+			t.Errorf("trace %v: %+v, printed %q, want %q", trace, got, out.String(), want)
+		}
+	}
+}
