--- a/cmd/bench/capacity/change.go
+++ b/cmd/bench/capacity/change.go
@@ -26,23 +26,18 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	list, _, stop, err := backends(4)
+	d, _, stop, err := discovered(4)
 	if err != nil {
 		return err
 	}
 	defer stop()
-	d := newDiscovery(list)
-	defer d.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	node := nodeOf(0, 1, d.Addr(), 64, plan{1000, 1000, 20})
-	p, err := node.Start(ctx, program(c.Bin), dir)
+	p, err := startIngress(ctx, node, c.Bin, dir)
 	if err != nil {
 		return err
 	}
-	if err := ready(p.Addr); err != nil {
-		return err
-	}
 	flood := func(addr string) (served, refused int64, err error) {
 		l := &load{Addr: addr, Conns: 4, PerSecond: 400, Customer: func(int64) uint64 { return 1 }}
 		err = l.Run(ctx, 1600)
@@ -72,10 +67,7 @@
 	if err := p.Stop(10 * time.Second); err != nil {
 		return err
 	}
-	if p, err = node.Start(ctx, program(c.Bin), dir); err != nil {
-		return err
-	}
-	if err := ready(p.Addr); err != nil {
+	if p, err = startIngress(ctx, node, c.Bin, dir); err != nil {
 		return err
 	}
 	if err := add("restarted", 200, p.Addr); err != nil {
--- a/cmd/bench/capacity/ingress.go
+++ b/cmd/bench/capacity/ingress.go
@@ -60,6 +60,15 @@
 // program is the command of the real ingress.
 func program(bin string) []string { return []string{filepath.Join(bin, "wickarch")} }
 
+// startIngress starts a real ingress and waits until it is ready.
+func startIngress(ctx context.Context, node standin.Node, bin, dir string) (*standin.Process, error) {
+	p, err := node.Start(ctx, program(bin), dir)
+	if err != nil {
+		return nil, err
+	}
+	return p, ready(p.Addr)
+}
+
 // until waits until something is so, looking each millisecond.
 func until(patience time.Duration, what string, is func() bool) error {
 	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
--- a/cmd/bench/capacity/latency.go
+++ b/cmd/bench/capacity/latency.go
@@ -43,22 +43,17 @@
 }
 
 func (c *latency) measure(n int, dir string, t table.Writer) error {
-	list, running, stop, err := backends(n)
+	d, running, stop, err := discovered(n)
 	if err != nil {
 		return err
 	}
 	defer stop()
-	d := newDiscovery(list)
-	defer d.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p, err := nodeOf(0, c.Of, d.Addr(), 64, generous).Start(ctx, program(c.Bin), dir)
+	p, err := startIngress(ctx, nodeOf(0, c.Of, d.Addr(), 64, generous), c.Bin, dir)
 	if err != nil {
 		return err
 	}
-	if err := ready(p.Addr); err != nil {
-		return err
-	}
 	warm := &load{Addr: p.Addr, Conns: 32, PerSecond: c.PerSecond, Customer: func(i int64) uint64 { return 1 + uint64(i)%200 }}
 	if err := warm.Run(ctx, int64(5*c.PerSecond)); err != nil {
 		return err
--- a/cmd/bench/capacity/load.go
+++ b/cmd/bench/capacity/load.go
@@ -104,3 +104,14 @@
 	}
 	return list, running, stop, nil
 }
+
+// discovered starts stand-in backends that answer at once, and a discovery that lists them.
+// stop ends both.
+func discovered(n int) (d *discovery, running []*standin.Backend, stop func(), err error) {
+	list, running, stopBackends, err := backends(n)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	d = newDiscovery(list)
+	return d, running, func() { d.Stop(); stopBackends() }, nil
+}
--- a/cmd/bench/capacity/sweeps.go
+++ b/cmd/bench/capacity/sweeps.go
@@ -23,11 +23,18 @@
 }
 
 func (r roles) start(ctx context.Context, d *discovery, memory int) (*standin.Process, error) {
-	p, err := nodeOf(0, fleetIngresses, d.Addr(), memory, generous).Start(ctx, program(r.Bin), r.Dir)
-	if err != nil {
-		return nil, err
+	return startIngress(ctx, nodeOf(0, fleetIngresses, d.Addr(), memory, generous), r.Bin, r.Dir)
+}
+
+// atRest tells the figures of an ingress at the begin of a rest, and the CPU that it took
+// in it, in ms a second.
+func (r roles) atRest(p *standin.Process) (begin standin.Usage, cpu float64, err error) {
+	if begin, err = p.Usage(); err != nil {
+		return begin, 0, err
 	}
-	return p, ready(p.Addr)
+	time.Sleep(r.Rest)
+	end, err := p.Usage()
+	return begin, ms(end.CPU-begin.CPU) / r.Rest.Seconds(), err
 }
 
 // byBackends measures one real ingress of the fleet, with a list of so many members and no clients.
@@ -91,13 +98,11 @@
 // byTenants measures one real ingress at a limit of 64 MB after so many tenants have asked
 // once at least, 1,500 requests a second at most.
 func (r roles) byTenants(size int) ([]figure, error) {
-	list, _, stop, err := backends(8)
+	d, _, stop, err := discovered(8)
 	if err != nil {
 		return nil, err
 	}
 	defer stop()
-	d := newDiscovery(list)
-	defer d.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p, err := r.start(ctx, d, 64)
@@ -108,12 +113,7 @@
 	if err := l.Run(ctx, int64(max(size, 8000))); err != nil {
 		return nil, err
 	}
-	u0, err := p.Usage()
-	if err != nil {
-		return nil, err
-	}
-	time.Sleep(r.Rest)
-	u1, err := p.Usage()
+	usage, cpu, err := r.atRest(p)
 	if err != nil {
 		return nil, err
 	}
@@ -121,8 +121,8 @@
 		return nil, fmt.Errorf("%v", l)
 	}
 	return []figure{
-		{"resident, MB", mb(u0.Resident)},
-		{"CPU at rest after it, ms/s", ms(u1.CPU-u0.CPU) / r.Rest.Seconds()},
+		{"resident, MB", mb(usage.Resident)},
+		{"CPU at rest after it, ms/s", cpu},
 		{"refused, of all", float64(l.Refused.Load()) / float64(max(size, 8000))},
 	}, p.Stop(10 * time.Second)
 }
@@ -133,13 +133,10 @@
 	defer d.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p, err := nodeOf(0, size, d.Addr(), 64, generous).Start(ctx, program(r.Bin), r.Dir)
+	p, err := startIngress(ctx, nodeOf(0, size, d.Addr(), 64, generous), r.Bin, r.Dir)
 	if err != nil {
 		return nil, err
 	}
-	if err := ready(p.Addr); err != nil {
-		return nil, err
-	}
 	time.Sleep(300 * time.Millisecond)
 	u0, err := p.Usage()
 	if err != nil {
@@ -164,16 +161,14 @@
 // loaded starts one real ingress of the fleet over so many backends that answer at once, and
 // has it serve for a while.
 func (r roles) loaded(ctx context.Context, backendsOf int, perSecond float64, warm time.Duration) (p *standin.Process, d *discovery, running []*standin.Backend, stop func(), err error) {
-	list, running, stopBackends, err := backends(backendsOf)
+	d, running, stopBackends, err := discovered(backendsOf)
 	if err != nil {
 		return nil, nil, nil, nil, err
 	}
-	d = newDiscovery(list)
 	stop = func() {
 		if p != nil {
 			p.Cmd.Process.Kill()
 		}
-		d.Stop()
 		stopBackends()
 	}
 	if p, err = r.start(ctx, d, 64); err == nil {
@@ -311,19 +306,14 @@
 			return nil, err
 		}
 	}
-	u0, err := p.Usage()
-	if err != nil {
-		return nil, err
-	}
-	time.Sleep(r.Rest)
-	u1, err := p.Usage()
+	usage, cpu, err := r.atRest(p)
 	if err != nil {
 		return nil, err
 	}
 	return []figure{
-		{"descriptors more", float64(u0.Files - before.Files)},
-		{"resident more, MB", mb(u0.Resident - before.Resident)},
-		{"CPU at rest, ms/s", ms(u1.CPU-u0.CPU) / r.Rest.Seconds()},
+		{"descriptors more", float64(usage.Files - before.Files)},
+		{"resident more, MB", mb(usage.Resident - before.Resident)},
+		{"CPU at rest, ms/s", cpu},
 	}, nil
 }
 
