--- a/cmd/bench/distribution/main.go
+++ b/cmd/bench/distribution/main.go
@@ -5,14 +5,13 @@
 import (
 	"fmt"
 	"os"
-	"runtime"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"wickarch/internal/distsim"
+	"wickarch/internal/sweep"
 )
 
 func main() {
@@ -24,14 +23,9 @@
 }
 
 type schedules struct {
-	From      uint64 `help:"The first seed." default:"1"`
-	Count     uint64 `help:"How many seeds." default:"100"`
-	Seed      uint64 `help:"Play this one alone."`
-	Trace     bool   `help:"With --seed: print all that happens."`
-	First     bool   `help:"Stop at the first fault."`
-	Calm      bool   `help:"Without faults."`
-	Jobs      int    `help:"How many at a time; 0 for one a core."`
-	Followers int    `default:"480"`
+	sweep.Flags
+	Calm      bool `help:"Without faults."`
+	Followers int  `default:"480"`
 }
 
 func (s *schedules) draw(seed uint64) distsim.Scenario {
@@ -43,52 +37,27 @@
 // Run plays them.
 func (s *schedules) Run() error {
 	if s.Seed > 0 {
-		var tell func(time.Duration, string)
-		if s.Trace {
-			tell = func(at time.Duration, line string) { fmt.Printf("%10.3f %s\n", at.Seconds(), line) }
-		}
-		r := distsim.Run(s.draw(s.Seed), tell)
-		fmt.Printf("%+v\n", r)
+		r := sweep.Alone(os.Stdout, s.Flags, func(seed uint64, tell func(time.Duration, string)) distsim.Report {
+			return distsim.Run(s.draw(seed), tell)
+		})
 		if len(r.Faults) > 0 {
 			os.Exit(1)
 		}
 		return nil
 	}
 	began := time.Now()
-	var mu sync.Mutex
-	var all sync.WaitGroup
 	var sum distsim.Report
-	next, played, bad := s.From, 0, 0
-	jobs := s.Jobs
-	if jobs == 0 {
-		jobs = runtime.GOMAXPROCS(0)
-	}
-	for range jobs {
-		all.Go(func() {
-			for {
-				mu.Lock()
-				seed := next
-				next++
-				done := s.First && bad > 0 || seed >= s.From+s.Count
-				mu.Unlock()
-				if done {
-					return
-				}
-				r := distsim.Run(s.draw(seed), nil)
-				mu.Lock()
-				played++
-				add(&sum, r)
-				if len(r.Faults) > 0 {
-					bad++
-					for _, f := range r.Faults[:min(2, len(r.Faults))] {
-						fmt.Printf("seed %d: %s\n", seed, f)
-					}
-				}
-				mu.Unlock()
+	bad := 0
+	played := sweep.Run(s.Seeds(), func(seed uint64) distsim.Report { return distsim.Run(s.draw(seed), nil) }, func(seed uint64, r distsim.Report) bool {
+		sum.Add(r)
+		if len(r.Faults) > 0 {
+			bad++
+			for _, f := range r.Faults[:min(2, len(r.Faults))] {
+				fmt.Printf("seed %d: %s\n", seed, f)
 			}
-		})
-	}
-	all.Wait()
+		}
+		return !s.First || bad == 0
+	})
 	fmt.Printf("%d schedules of %d followers in %v: %d events, %d questions, %d versions, %d conflicts, %d halts, %d settled, %d leaders, %d faults caused, %d replies not taken, at most %d apart; %d broken\n",
 		played, s.Followers, time.Since(began).Round(time.Second), sum.Events, sum.Polls, sum.Versions, sum.Conflicts, sum.Halts, sum.Settles, sum.Leaders, sum.Troubles,
 		sum.NotTaken, sum.Apart, bad)
@@ -100,21 +69,6 @@
 	return nil
 }
 
-func add(sum *distsim.Report, r distsim.Report) {
-	sum.Events += r.Events
-	sum.Polls += r.Polls
-	sum.NotTaken += r.NotTaken
-	sum.Versions += r.Versions
-	sum.Leaders += r.Leaders
-	sum.Halts += r.Halts
-	sum.Settles += r.Settles
-	sum.Conflicts += r.Conflicts
-	sum.Troubles += r.Troubles
-	sum.Apart = max(sum.Apart, r.Apart)
-	sum.Calm = append(sum.Calm, r.Calm...)
-	sum.After = append(sum.After, r.After...)
-}
-
 func quantiles(what string, list []time.Duration) {
 	if len(list) == 0 {
 		fmt.Printf("%s: none\n", what)
--- a/cmd/mutants/main.go
+++ b/cmd/bench/mutants/main.go
@@ -26,8 +26,8 @@
 // mutant is one guard taken out: in a file, one text in place of another.
 type mutant struct {
 	name, file, old, new string
-	drawn                string   // the flag of cmd/seeds that draws what notices it; "": none
-	play                 []string // what plays: a package, and its arguments; nil for cmd/seeds
+	drawn                string   // the flag of cmd/bench/seeds that draws what notices it; "": none
+	play                 []string // what plays: a package, and its arguments; nil for cmd/bench/seeds
 }
 
 func main() {
@@ -138,7 +138,7 @@
 	if err := os.WriteFile(path, []byte(strings.Replace(string(text), old, strings.TrimSuffix(m.new, "\n"), 1)), 0o600); err != nil {
 		return "", err
 	}
-	target, args := "./cmd/seeds", []string{"-first", "-count", fmt.Sprint(count)}
+	target, args := "./cmd/bench/seeds", []string{"-first", "-count", fmt.Sprint(count)}
 	if m.drawn != "" {
 		args = append(args, m.drawn)
 	}
--- a/internal/distsim/coordinator.go
+++ b/internal/distsim/coordinator.go
@@ -10,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"wickarch/distribution"
+	"wickarch/internal/raftlog"
+	"wickarch/internal/virtualtime"
 )
 
 const (
@@ -31,22 +33,21 @@
 	term     uint64 // of pub
 	silent   int
 	patience int
-	life     int
-	until    time.Duration // paused until then
-	held     []func()
 	waiting  map[string]func(error)
 	polls    map[string]func(uint64, distribution.Reply) // how a held question is answered
+
+	virtualtime.Process
 }
 
 func newCoordinator(w *World, id uint64, region int) *coordinator {
-	c := &coordinator{w: w, id: id, region: region, rate: w.drawRate(), log: raft.NewMemoryStorage()}
+	c := &coordinator{w: w, id: id, region: region, rate: w.drawRate(), log: raft.NewMemoryStorage(), Process: virtualtime.NewProcess(&w.Scheduler)}
 	w.must(c.log.ApplySnapshot(&pb.Snapshot{Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
 		ConfState: &pb.ConfState{Voters: []uint64{1, 2, 3}}}}))
 	w.must(c.log.SetHardState(&pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}))
 	return c
 }
 
-func (c *coordinator) now() time.Duration { return time.Duration(float64(c.w.now) * c.rate) }
+func (c *coordinator) now() time.Duration { return time.Duration(float64(c.w.Now()) * c.rate) }
 
 func (c *coordinator) restless() { c.silent, c.patience = 0, election+c.w.rng.IntN(election) }
 
@@ -56,42 +57,35 @@
 	}
 	var err error
 	c.node, err = raft.NewRawNode(&raft.Config{ID: c.id, ElectionTick: election, HeartbeatTick: 1, Storage: c.log, Applied: 1, MaxSizePerMsg: 1 << 20,
-		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: quiet{}})
+		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: raftlog.Silent{}})
 	c.w.must(err)
 	c.catalog, c.waiting, c.polls = distribution.NewCatalog(), map[string]func(error){}, map[string]func(uint64, distribution.Reply){}
-	c.life++
-	c.until, c.held = 0, nil
+	c.Begin()
 	c.restless()
-	life := c.life
+	life := c.Life()
 	var beat func()
 	beat = func() {
-		if c.life != life {
+		if c.Life() != life {
 			return
 		}
-		if c.w.now < c.until {
-			c.w.at(c.until, beat)
+		if c.Paused() {
+			c.w.At(c.Resumes(), beat)
 			return
 		}
 		c.do(c.beat)
-		c.w.after(time.Duration(float64(tick)/c.rate), beat)
+		c.w.After(time.Duration(float64(tick)/c.rate), beat)
 	}
-	c.w.after(time.Duration(c.w.rng.Int64N(int64(tick))), beat)
+	c.w.After(time.Duration(c.w.rng.Int64N(int64(tick))), beat)
 }
 
 func (c *coordinator) kill() {
-	c.node, c.pub, c.leads, c.held = nil, nil, false, nil
-	c.life++
+	c.node, c.pub, c.leads = nil, nil, false
+	c.End()
 }
 
 // do runs something here, now or when a pause is over.
 func (c *coordinator) do(f func()) {
-	if c.node == nil {
-		return
-	}
-	if c.w.now < c.until {
-		if len(c.held) < 5000 {
-			c.held = append(c.held, f)
-		}
+	if c.node == nil || c.Hold(f) {
 		return
 	}
 	f()
@@ -104,18 +98,7 @@
 	if c.node == nil {
 		return
 	}
-	c.until = c.w.now + d
-	life := c.life
-	c.w.at(c.until, func() {
-		if c.life != life {
-			return
-		}
-		held := c.held
-		c.held = nil
-		for _, f := range held {
-			c.do(f)
-		}
-	})
+	c.Pause(d, c.do)
 }
 
 func (c *coordinator) beat() {
@@ -224,7 +207,7 @@
 		c.term = entry.GetTerm()
 		c.pub = distribution.NewPublisher(c.w.Timing, c.catalog, c.now())
 		c.w.Report.Leaders++
-		c.w.note("coordinator %d leads in term %d", c.id, c.term)
+		c.w.Note("coordinator %d leads in term %d", c.id, c.term)
 	}
 }
 
@@ -269,19 +252,3 @@
 	}
 	send(q.Number, r)
 }
-
-// quiet drops the library's log lines.
-type quiet struct{}
-
-func (quiet) Debug(...any)              {}
-func (quiet) Debugf(string, ...any)     {}
-func (quiet) Info(...any)               {}
-func (quiet) Infof(string, ...any)      {}
-func (quiet) Warning(...any)            {}
-func (quiet) Warningf(string, ...any)   {}
-func (quiet) Error(...any)              {}
-func (quiet) Errorf(string, ...any)     {}
-func (quiet) Fatal(v ...any)            { panic(v) }
-func (quiet) Fatalf(f string, _ ...any) { panic(f) }
-func (quiet) Panic(v ...any)            { panic(v) }
-func (quiet) Panicf(f string, _ ...any) { panic(f) }
--- a/internal/distsim/follower.go
+++ b/internal/distsim/follower.go
@@ -52,7 +52,7 @@
 }
 
 func (f *follower) end() end           { return end{f.region, 1000 + f.id} }
-func (f *follower) now() time.Duration { return time.Duration(float64(f.w.now) * f.rate) }
+func (f *follower) now() time.Duration { return time.Duration(float64(f.w.Now()) * f.rate) }
 
 func (f *follower) start() {
 	if f.f != nil {
@@ -70,7 +70,7 @@
 	u := f.f.InUse()
 	if u.Version < before {
 		if !f.lost {
-			f.w.fault("%s starts by version %d, and decided by %d", f.name, u.Version, before)
+			f.w.Fault("%s starts by version %d, and decided by %d", f.name, u.Version, before)
 		}
 		f.mark = f.w.log.Version
 	}
@@ -110,11 +110,11 @@
 	}
 	f.wakes++ // what was planned before counts no more
 	n := f.wakes
-	f.w.at(max(f.w.now, f.until, time.Duration(float64(due)/f.rate)+time.Microsecond), func() {
+	f.w.At(max(f.w.Now(), f.until, time.Duration(float64(due)/f.rate)+time.Microsecond), func() {
 		if f.wakes != n || f.f == nil {
 			return
 		}
-		if f.w.now >= f.until {
+		if f.w.Now() >= f.until {
 			if a := f.f.Tick(f.now()); a != nil {
 				c, q := f.w.coordinators[a.Coordinator], a.Poll
 				f.w.Report.Polls++
@@ -130,8 +130,8 @@
 	if f.life != life || f.f == nil {
 		return
 	}
-	if f.w.now < f.until {
-		f.w.at(f.until, func() { f.told(life, do) })
+	if f.w.Now() < f.until {
+		f.w.At(f.until, func() { f.told(life, do) })
 		return
 	}
 	do()
@@ -153,21 +153,21 @@
 		save, err := f.f.Replied(f.now(), number, r)
 		if err != nil {
 			f.w.Report.NotTaken++
-			f.w.note("%s does not take a reply: %v", f.name, err)
+			f.w.Note("%s does not take a reply: %v", f.name, err)
 		}
 		if save == nil {
 			return
 		}
-		f.w.after(time.Duration((1+f.w.rng.ExpFloat64()*5)*float64(time.Millisecond)), func() {
+		f.w.After(time.Duration((1+f.w.rng.ExpFloat64()*5)*float64(time.Millisecond)), func() {
 			f.told(life, func() {
 				var err error
-				if f.w.now < f.full {
+				if f.w.Now() < f.full {
 					err, f.lost = errFull, true
 				} else {
 					f.keep(save)
 				}
 				u := f.f.Saved(f.now(), err)
-				f.w.after(time.Duration(f.w.rng.Int64N(int64(3*time.Millisecond))), func() {
+				f.w.After(time.Duration(f.w.rng.Int64N(int64(3*time.Millisecond))), func() {
 					f.told(life, func() {
 						f.use(u, save.Whole)
 						f.f.Using(f.now())
@@ -217,12 +217,12 @@
 	w := f.w
 	switch {
 	case u.Version < f.used:
-		w.fault("%s goes from version %d back to %d", f.name, f.used, u.Version)
+		w.Fault("%s goes from version %d back to %d", f.name, f.used, u.Version)
 	case u.Version == f.used && u.Settled <= f.settled && !whole:
-		w.fault("%s applies version %d twice", f.name, u.Version)
+		w.Fault("%s applies version %d twice", f.name, u.Version)
 	}
 	if u.Settled < f.settled {
-		w.fault("%s goes from settled %d back to %d", f.name, f.settled, u.Settled)
+		w.Fault("%s goes from settled %d back to %d", f.name, f.settled, u.Settled)
 	}
 	f.used, f.settled = u.Version, u.Settled
 	f.holds(u)
@@ -235,18 +235,18 @@
 func (f *follower) holds(u *distribution.InUse) {
 	w := f.w
 	if u.Version > w.log.Version {
-		w.fault("%s has version %d, and the log %d", f.name, u.Version, w.log.Version)
+		w.Fault("%s has version %d, and the log %d", f.name, u.Version, w.log.Version)
 		return
 	}
 	if sum := u.Set.Sum(); sum != w.versions[u.Version].hash {
-		w.fault("%s has what is not version %d", f.name, u.Version)
+		w.Fault("%s has what is not version %d", f.name, u.Version)
 	}
 	if u.Settled > w.mostSettled {
-		w.fault("%s has version %d as settled, and the log %d", f.name, u.Settled, w.mostSettled)
+		w.Fault("%s has version %d as settled, and the log %d", f.name, u.Settled, w.mostSettled)
 		return
 	}
 	if f.refuses && w.versions[u.Version].bad {
-		w.fault("%s decides by version %d, and can't", f.name, u.Version)
+		w.Fault("%s decides by version %d, and can't", f.name, u.Version)
 	}
 	f.ceilings = [plans]float64{}
 	if u.Version == 0 {
@@ -255,12 +255,12 @@
 	for i := range plans {
 		p, err := u.Plan(planKey(i))
 		if err != nil {
-			w.fault("%s: %v", f.name, err)
+			w.Fault("%s: %v", f.name, err)
 			continue
 		}
 		f.ceilings[i] = p.CeilingRate
 		if s := w.versions[u.Settled].ceilings[i]; u.Settled > 0 && p.CeilingRate > s {
-			w.fault("%s: the ceiling of plan %d is raised from %v to %v with version %d, and %d has settled", f.name, i, s, p.CeilingRate, u.Version, u.Settled)
+			w.Fault("%s: the ceiling of plan %d is raised from %v to %v with version %d, and %d has settled", f.name, i, s, p.CeilingRate, u.Version, u.Settled)
 		}
 	}
 }
@@ -270,14 +270,14 @@
 
 // heardBy notes that who leads has heard it.
 func (f *follower) heardBy() {
-	if f.w.now-f.heard > lease {
+	if f.w.Now()-f.heard > lease {
 		f.mark = f.w.log.Version
 	}
-	f.heard = f.w.now
+	f.heard = f.w.Now()
 }
 
 // apart tells whether it is not counted: its lease ran out, or it began again by an older
 // disk, and it is not where the others are since.
 func (f *follower) apart() bool {
-	return f.f == nil || f.used == 0 || f.w.now-f.heard > lease || f.used < f.mark
+	return f.f == nil || f.used == 0 || f.w.Now()-f.heard > lease || f.used < f.mark
 }
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -16,41 +15,17 @@
 	"slices"
 	"time"
 
+	"wickarch/internal/virtualtime"
 	"wickarch/rollout"
 	"wickarch/rollout/replica"
 )
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1].do = nil
-	*q = old[:len(old)-1]
-	return e
-}
-
 // World is one run.
 type World struct {
 	Scenario
-	rng    *rand.Rand
-	now    time.Duration
-	seq    uint64
-	events queue
-	tell   func(time.Duration, string)
+	virtualtime.Scheduler
+	virtualtime.Recorder
+	rng *rand.Rand
 
 	coordinators []*coordinator // by number less one, those that were replaced among them
 	slots        []*coordinator // by the place that agents ask
@@ -62,8 +37,7 @@
 
 	halted         map[string]time.Duration // rollouts whose halt an operator was told to be in force
 	ordered        map[string]bool          // rollouts that were started, as operators were told
-	faults         []string
-	calm           bool // all faults are over
+	calm           bool                     // all faults are over
 	badAt, startAt time.Duration
 	lifted         map[string]bool // rollouts whose halt an operator has ordered lifted since
 	lifting        map[string]int  // such orders on their way
@@ -97,27 +71,6 @@
 // ends of links: coordinators from 0 by place, agents from agentEnd.
 const agentEnd = 1000
 
-func (w *World) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{max(t, w.now), w.seq, do})
-}
-
-func (w *World) after(d time.Duration, do func()) { w.at(w.now+d, do) }
-
-func (w *World) fault(format string, args ...any) {
-	f := fmt.Sprintf("%9.3f s: ", w.now.Seconds()) + fmt.Sprintf(format, args...)
-	if len(w.faults) < 20 {
-		w.faults = append(w.faults, f)
-	}
-	w.note("FAULT %s", f)
-}
-
-func (w *World) note(format string, args ...any) {
-	if w.tell != nil {
-		w.tell(w.now, fmt.Sprintf(format, args...))
-	}
-}
-
 // carry delivers something from an end to another, late or not at all.
 func (w *World) carry(from, to int, do func()) {
 	if w.cut[[2]int{from, to}] || w.loss > 0 && w.rng.Float64() < w.loss {
@@ -127,7 +80,7 @@
 	if w.loss > 0 && w.rng.IntN(20) == 0 {
 		d += time.Duration(w.rng.Float64() * float64(w.Slow)) // late, and overtaken
 	}
-	w.after(d, func() {
+	w.After(d, func() {
 		if !w.cut[[2]int{from, to}] {
 			do()
 		}
@@ -148,68 +101,60 @@
 	clock clock
 	r     *replica.Replica // nil while down
 	disk  disk
-	life  int
-	until time.Duration // paused until then
-	held  []func()      // what came meanwhile
-	dead  bool          // for good
-	lost  bool          // its disk is to be replaced
+	dead  bool // for good
+	lost  bool // its disk is to be replaced
+
+	virtualtime.Process
 }
 
 func (c *coordinator) start() {
 	if c.dead || c.r != nil {
 		return
 	}
-	c.life++
+	c.Begin()
 	stored, err := c.disk.load()
 	if err != nil {
-		c.w.note("coordinator %d does not start: %v", c.id, err)
+		c.w.Note("coordinator %d does not start: %v", c.id, err)
 		c.dead = true
 		return
 	}
 	r, err := replica.New(replica.Config{ID: c.id, Rollout: c.w.Config, Tick: c.w.RaftTick, Election: 6, Compact: 200, Decide: c.w.Decide},
-		stored, &c.disk, c.w.Seed*31+c.id+uint64(c.life)<<40, c.clock.of(c.w.now))
+		stored, &c.disk, c.w.Seed*31+c.id+uint64(c.Life())<<40, c.clock.of(c.w.Now()))
 	if err != nil {
-		c.w.note("coordinator %d does not start: %v", c.id, err)
+		c.w.Note("coordinator %d does not start: %v", c.id, err)
 		c.dead = true
 		return
 	}
-	c.w.note("coordinator %d starts", c.id)
+	c.w.Note("coordinator %d starts", c.id)
 	c.r = r
-	c.until, c.held = 0, nil
-	life := c.life
+	life := c.Life()
 	var tick func()
 	tick = func() {
-		if c.life != life || c.r == nil {
+		if c.Life() != life || c.r == nil {
 			return
 		}
-		if c.w.now < c.until {
-			c.w.at(c.until, tick)
+		if c.Paused() {
+			c.w.At(c.Resumes(), tick)
 			return
 		}
-		c.do(func() { c.r.Tick(c.clock.of(c.w.now)) })
-		c.w.after(c.clock.to(c.w.RaftTick), tick)
+		c.do(func() { c.r.Tick(c.clock.of(c.w.Now())) })
+		c.w.After(c.clock.to(c.w.RaftTick), tick)
 	}
-	c.w.after(time.Duration(c.w.rng.Int64N(int64(c.w.RaftTick))), tick)
+	c.w.After(time.Duration(c.w.rng.Int64N(int64(c.w.RaftTick))), tick)
 }
 
 func (c *coordinator) kill() {
 	if c.r == nil {
 		return
 	}
-	c.w.note("coordinator %d dies", c.id)
-	c.r, c.held = nil, nil
-	c.life++
+	c.w.Note("coordinator %d dies", c.id)
+	c.r = nil
+	c.End()
 }
 
 // do runs something at the coordinator, and sends what comes of it.
 func (c *coordinator) do(f func()) {
-	if c.r == nil {
-		return
-	}
-	if c.w.now < c.until {
-		if len(c.held) < 5000 {
-			c.held = append(c.held, f)
-		}
+	if c.r == nil || c.Hold(f) {
 		return
 	}
 	led := c.r.Leading()
@@ -219,7 +164,7 @@
 	}
 	if !led && c.r.Leading() {
 		c.w.Report.Leaders++
-		c.w.note("coordinator %d leads in term %d", c.id, c.r.Term())
+		c.w.Note("coordinator %d leads in term %d", c.id, c.r.Term())
 	}
 	for _, m := range c.r.Take() {
 		to := c.w.coordinator(m.To)
@@ -228,18 +173,18 @@
 		}
 		data := m.Data
 		c.w.carry(c.place, to.place, func() {
-			to.do(func() { to.r.Step(to.clock.of(c.w.now), data) })
+			to.do(func() { to.r.Step(to.clock.of(c.w.Now()), data) })
 		})
 	}
 	if err := c.r.Err(); err != nil {
-		c.w.note("coordinator %d stops: %v", c.id, err)
+		c.w.Note("coordinator %d stops: %v", c.id, err)
 		switch err.(type) {
 		case *replica.LogBehind, *replica.LogSplit:
 			c.dead = true // its operator replaces it, as the remedy says
-			c.w.after(c.w.between(2*time.Second, 20*time.Second), func() { c.w.replace(c.place) })
+			c.w.After(c.w.between(2*time.Second, 20*time.Second), func() { c.w.replace(c.place) })
 		}
 		c.r = nil
-		c.life++
+		c.End()
 	}
 }
 
@@ -247,19 +192,8 @@
 	if c.r == nil {
 		return
 	}
-	c.w.note("coordinator %d is paused for %v", c.id, d)
-	c.until = c.w.now + d
-	life := c.life
-	c.w.at(c.until, func() {
-		if c.life != life {
-			return
-		}
-		held := c.held
-		c.held = nil
-		for _, f := range held {
-			c.do(f)
-		}
-	})
+	c.w.Note("coordinator %d is paused for %v", c.id, d)
+	c.Pause(d, c.do)
 }
 
 func (w *World) coordinator(id uint64) *coordinator {
@@ -272,7 +206,7 @@
 // leader is the coordinator that leads in the highest term; nil for none.
 func (w *World) leader() (lead *coordinator) {
 	for _, c := range w.coordinators {
-		if c.r != nil && c.r.Leading() && w.now >= c.until && (lead == nil || c.r.Term() > lead.r.Term()) {
+		if c.r != nil && c.r.Leading() && !c.Paused() && (lead == nil || c.r.Term() > lead.r.Term()) {
 			lead = c
 		}
 	}
@@ -285,7 +219,7 @@
 		n := 0
 		for _, id := range ids {
 			o := w.coordinator(id)
-			if o.r != nil && w.now >= o.until && !w.cut[[2]int{c.place, o.place}] && !w.cut[[2]int{o.place, c.place}] {
+			if o.r != nil && !o.Paused() && !w.cut[[2]int{c.place, o.place}] && !w.cut[[2]int{o.place, c.place}] {
 				n++
 			}
 		}
@@ -311,15 +245,15 @@
 	}
 	lead := w.leader()
 	if lead == nil || lead == old {
-		w.after(2*time.Second, func() { w.replace(place) })
+		w.After(2*time.Second, func() { w.replace(place) })
 		return
 	}
 	id := uint64(len(w.coordinators) + 1)
-	w.note("coordinator %d is to take the place of %d", id, old.id)
+	w.Note("coordinator %d is to take the place of %d", id, old.id)
 	if _, there := lead.r.Peers()[old.id]; !there {
 		return
 	}
-	c := &coordinator{w: w, id: id, place: place, clock: old.clock}
+	c := &coordinator{w: w, id: id, place: place, clock: old.clock, Process: virtualtime.NewProcess(&w.Scheduler)}
 	c.disk.w = w
 	old.kill()
 	old.dead = true
@@ -333,17 +267,16 @@
 			if _, there := lead.r.Peers()[id]; there {
 				return
 			}
-			lead.do(func() { lead.r.Replace(lead.clock.of(w.now), old.id, id, "") })
+			lead.do(func() { lead.r.Replace(lead.clock.of(w.Now()), old.id, id, "") })
 		}
-		w.after(3*time.Second, again)
+		w.After(3*time.Second, again)
 	}
 	again()
 }
 
 // order sends an operator's order until it is decided, as the command does.
 func (w *World) order(e rollout.Entry, done func(error)) {
-	w.seq++
-	e.Request = fmt.Sprint("q", w.seq)
+	e.Request = fmt.Sprint("q", w.Sequence())
 	place := w.rng.IntN(len(w.slots))
 	var try func(n int)
 	try = func(n int) {
@@ -373,16 +306,16 @@
 				return
 			}
 			if n < 200 {
-				w.after(500*time.Millisecond, func() { try(n + 1) })
+				w.After(500*time.Millisecond, func() { try(n + 1) })
 			}
 		}
 		c := w.slots[place]
-		if c.r != nil && w.now >= c.until {
+		if c.r != nil && !c.Paused() {
 			c.do(func() {
-				c.r.Order(c.clock.of(w.now), e, func(err error) { w.after(time.Millisecond, func() { answer(err) }) })
+				c.r.Order(c.clock.of(w.Now()), e, func(err error) { w.After(time.Millisecond, func() { answer(err) }) })
 			})
 		}
-		w.after(3*time.Second, func() {
+		w.After(3*time.Second, func() {
 			if !answered {
 				place = (place + 1) % len(w.slots)
 				answer(&rollout.Undecided{Why: "no answer"})
@@ -438,7 +371,7 @@
 			}
 		}
 		if covers {
-			w.fault("%s is granted out past %v: %s", m.cfg.Member.Name, over, w.whoIsOut(slack))
+			w.Fault("%s is granted out past %v: %s", m.cfg.Member.Name, over, w.whoIsOut(slack))
 		}
 	}
 }
@@ -457,30 +390,30 @@
 
 // Run plays a scenario. tell gets a line for each thing that happens; nil for none.
 func Run(s Scenario, tell func(time.Duration, string)) Report {
-	w := &World{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 77)), tell: tell, byName: map[string]*member{}, cut: map[[2]int]bool{},
+	w := &World{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 77)), byName: map[string]*member{}, cut: map[[2]int]bool{},
 		halted: map[string]time.Duration{}, ordered: map[string]bool{},
 		lifted: map[string]bool{}, lookedAt: map[string]*int{}, lifting: map[string]int{}}
+	w.Recorder = virtualtime.NewRecorder(&w.Scheduler, tell)
 	w.Report = Report{Halted: -1, Undone: -1, Took: -1, Rollouts: map[string]int{}}
 	w.build()
 	w.plan()
 	var leaderless time.Duration
 	last := time.Duration(0)
-	for len(w.events) > 0 && w.events[0].at <= w.End {
-		e := heap.Pop(&w.events).(event)
-		if w.now = e.at; w.now-last >= 250*time.Millisecond {
+	for event, more := w.Next(w.End); more; event, more = w.Next(w.End) {
+		if w.Now()-last >= 250*time.Millisecond {
 			if w.leader() == nil {
-				leaderless += w.now - last
+				leaderless += w.Now() - last
 			}
-			last = w.now
+			last = w.Now()
 			w.sample()
 			w.follow()
 		}
 		w.Report.Events++
-		e.do()
+		event.Do()
 	}
-	w.Report.Leaderless, w.Report.Span = leaderless, w.now
+	w.Report.Leaderless, w.Report.Span = leaderless, w.Now()
 	w.finish()
-	w.Report.Faults = w.faults
+	w.Report.Faults = w.Faults()
 	return w.Report
 }
 
@@ -502,7 +435,7 @@
 			}
 		}
 		if w.Report.Took < 0 {
-			w.Report.Took = w.now - w.startAt
+			w.Report.Took = w.Now() - w.startAt
 		}
 		return
 	}
@@ -515,15 +448,15 @@
 		return
 	}
 	if r.Halt != nil && w.Report.Halted < 0 && w.badAt > 0 {
-		w.Report.Halted = w.now - w.badAt
+		w.Report.Halted = w.Now() - w.badAt
 	}
 	if r.Halt != nil && w.GoBack && r.Phase == rollout.Going && !w.lifted[r.ID] {
 		w.goBack(r.ID)
 	}
 	if r.Phase.Ended() && w.Report.Took < 0 {
-		w.Report.Took = w.now - w.startAt
+		w.Report.Took = w.Now() - w.startAt
 		if r.Phase == rollout.Undone && w.badAt > 0 {
-			w.Report.Undone = w.now - w.badAt
+			w.Report.Undone = w.Now() - w.badAt
 		}
 	}
 }
@@ -541,7 +474,7 @@
 	lead := w.leader()
 	if lead == nil {
 		if w.majority() {
-			w.fault("nobody leads at the end, though a majority could")
+			w.Fault("nobody leads at the end, though a majority could")
 		}
 		w.Report.Rollouts["no majority"]++
 		return
@@ -549,12 +482,12 @@
 	state := lead.r.State()
 	for id := range w.ordered {
 		if state.Rollout(id) == nil && state.Stop == nil {
-			w.fault("rollout %s was taken, and is not there", id)
+			w.Fault("rollout %s was taken, and is not there", id)
 		}
 	}
 	for id, at := range w.halted {
 		if r := state.Rollout(id); r != nil && r.Halt == nil && !r.Phase.Ended() && state.Stop == nil {
-			w.fault("the halt of %s of %v is lost", id, at)
+			w.Fault("the halt of %s of %v is lost", id, at)
 		}
 	}
 	for _, r := range state.Rollouts {
@@ -568,8 +501,8 @@
 		}
 		w.Report.Rollouts[how]++
 		if !r.Phase.Ended() && r.Halt == nil && state.Stop == nil && r.Phase != rollout.Waiting {
-			status, _ := lead.r.Status(lead.clock.of(w.now))
-			w.fault("rollout %s neither ends nor halts: %s", r.ID, line(status, r.ID))
+			status, _ := lead.r.Status(lead.clock.of(w.Now()))
+			w.Fault("rollout %s neither ends nor halts: %s", r.ID, line(status, r.ID))
 		}
 	}
 }
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"reflect"
-	"runtime"
-	"sync"
 	"testing"
 	"time"
 
 	"wickarch/internal/reactor/simnet"
+	"wickarch/internal/sweep"
 )
 
-// The simulation has to be able to see what it checks for. cmd/mutants takes
+// The simulation has to be able to see what it checks for. cmd/bench/mutants takes
 // guards out of the program, one by one, and tells which seed notices each.
 
 func TestSeeds(t *testing.T) { playAll(t, 150, 100, Draw, "") }
@@ -27,7 +26,7 @@
 
 // Twenty to thirty ingresses under a burst, before backends that join and that come back cold: none of these gets
 // more than N + 2 x root of N requests of mean work, over two thirds of it from ingresses that know. Three hundred
-// seeds: go run ./cmd/seeds -throng -count 300.
+// seeds: go run ./cmd/bench/seeds -throng -count 300.
 func TestThrong(t *testing.T) {
 	r := playAll(t, 8, 1500, DrawThrong, " -throng")
 	t.Logf("%d fell; the coldest backend was sent %.2f of what it bears", r.Fallen, r.Coldest)
@@ -98,34 +97,14 @@
 
 // playAll plays seeds, with so many requests in each on average at least.
 func playAll(t *testing.T, seeds uint64, requests int, draw func(uint64) Scenario, flags string) Report {
-	var mu sync.Mutex
-	next := uint64(0)
 	var sum Report
-	var all sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		all.Go(func() {
-			for {
-				mu.Lock()
-				next++
-				seed := next
-				mu.Unlock()
-				if seed > seeds {
-					return
-				}
-				got := Run(draw(seed), nil)
-				mu.Lock()
-				for _, f := range got.Faults {
-					t.Errorf("seed %d (go run ./cmd/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
-				}
-				sum.Requests += got.Requests
-				sum.Served += got.Served
-				sum.Fallen += got.Fallen
-				sum.Coldest = max(sum.Coldest, got.Coldest)
-				mu.Unlock()
-			}
-		})
-	}
-	all.Wait()
+	sweep.Run(sweep.Seeds{From: 1, Count: seeds}, func(seed uint64) Report { return Run(draw(seed), nil) }, func(seed uint64, got Report) bool {
+		for _, f := range got.Faults {
+			t.Errorf("seed %d (go run ./cmd/bench/seeds%s -seed %d -trace): %s", seed, flags, seed, f)
+		}
+		sum.Add(got)
+		return true
+	})
 	// So that a run in which nothing happens does not pass.
 	if sum.Served < sum.Requests/3 || sum.Requests < requests*int(seeds) {
 		t.Errorf("%d requests, %d of them served: too little to show anything", sum.Requests, sum.Served)
