--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -157,7 +157,6 @@
 
 // fake is an ingress.
 type fake struct {
-	mu      sync.Mutex
 	refuses string // a key
 	fails   bool
 	in      chan distribution.InUse
--- a/internal/ingress/virtual_test.go
+++ b/internal/ingress/virtual_test.go
@@ -173,14 +173,6 @@
 	a.say(fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(v), v))
 }
 
-// id is the request's.
-func (a *playedAttempt) id() string {
-	if len(a.args) < 3 {
-		return ""
-	}
-	return a.args[2]
-}
-
 // virtualClient is one client's connection.
 type virtualClient struct {
 	*installation
