Rename rollout.RolloutStatus to rollout.Progress

The linter's check of exported names: the type's name repeated the package's. The JSON of the operators' command and of the coordinators' answers is unchanged.

--- a/cmd/wickarch-fleet/main.go
+++ b/cmd/wickarch-fleet/main.go
@@ -209,7 +209,7 @@
 		if err != nil && !(errors.As(err, &told) && told.Kind == "NotLeader") && c.For == 0 {
 			return err
 		}
-		i := slices.IndexFunc(s.Rollouts, func(r rollout.RolloutStatus) bool { return r.ID == c.ID })
+		i := slices.IndexFunc(s.Rollouts, func(r rollout.Progress) bool { return r.ID == c.ID })
 		if err == nil && i < 0 {
 			return &rollout.Unknown{What: "rollout", Name: c.ID}
 		}
@@ -241,7 +241,7 @@
 }
 
 // words tells how a rollout stands, in lines.
-func words(s rolloutlink.Status, r rollout.RolloutStatus) string {
+func words(s rolloutlink.Status, r rollout.Progress) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s to %s: %s, wave %d of %d, %d of %d members", r.ID, r.Version, r.Phase, r.Wave, r.Waves, r.Done, r.Of)
 	if r.Left > 0 && r.Done < r.Of {
--- a/internal/fleetproc/fleet_test.go
+++ b/internal/fleetproc/fleet_test.go
@@ -75,13 +75,13 @@
 	}
 }
 
-func rolloutOf(s rolloutlink.Status, id string) rollout.RolloutStatus {
+func rolloutOf(s rolloutlink.Status, id string) rollout.Progress {
 	for _, r := range s.Rollouts {
 		if r.ID == id {
 			return r
 		}
 	}
-	return rollout.RolloutStatus{}
+	return rollout.Progress{}
 }
 
 func member(s rolloutlink.Status, name string) rollout.MemberStatus {
--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -631,8 +631,8 @@
 	Grant   *Grant  `json:"grant,omitempty"`
 }
 
-// RolloutStatus is how a rollout stands.
-type RolloutStatus struct {
+// Progress tells how far a rollout has come.
+type Progress struct {
 	ID      string        `json:"id"`
 	Version string        `json:"version"`
 	Phase   Phase         `json:"phase"`
@@ -650,13 +650,13 @@
 
 // Status is how all stands, as the leader knows it.
 type Status struct {
-	Index    uint64          `json:"index"`
-	Term     uint64          `json:"term"`
-	Unsure   string          `json:"unsure,omitempty"` // why nothing is granted
-	Stop     *Halt           `json:"stop,omitempty"`
-	Budgets  []BudgetUse     `json:"budgets"`
-	Rollouts []RolloutStatus `json:"rollouts"`
-	Members  []MemberStatus  `json:"members"`
+	Index    uint64         `json:"index"`
+	Term     uint64         `json:"term"`
+	Unsure   string         `json:"unsure,omitempty"` // why nothing is granted
+	Stop     *Halt          `json:"stop,omitempty"`
+	Budgets  []BudgetUse    `json:"budgets"`
+	Rollouts []Progress     `json:"rollouts"`
+	Members  []MemberStatus `json:"members"`
 }
 
 // Status tells how all stands.
@@ -667,7 +667,7 @@
 		s.Unsure = err.Error()
 	}
 	for _, r := range l.state.Rollouts {
-		rs := RolloutStatus{ID: r.ID, Version: r.Version, Phase: r.Phase, Halt: r.Halt, Wave: min(r.Wave+1, len(r.Waves)), Waves: len(r.Waves),
+		rs := Progress{ID: r.ID, Version: r.Version, Phase: r.Phase, Halt: r.Halt, Wave: min(r.Wave+1, len(r.Waves)), Waves: len(r.Waves),
 			Idle: r.Idle, Watched: r.Watched}
 		if w := l.watches[r.ID]; w != nil && !r.Phase.Ended() {
 			rs.Done, rs.Of, rs.Waits = w.done, w.of, w.waits
