--- a/distribution/publisher.go
+++ b/distribution/publisher.go
@@ -133,9 +133,9 @@
 // confirmed tells whether this publisher may give out anything.
 func (p *Publisher) confirmed() bool { return p.timing.Fresh == 0 || p.now-p.sure < p.timing.Fresh }
 
-// takes takes the time. A publisher that was paused for long has heard nobody meanwhile; that
+// setTime sets the current time. A publisher that was paused for long has heard nobody meanwhile; that
 // says nothing about them, so it waits for all once more.
-func (p *Publisher) takes(now time.Duration) {
+func (p *Publisher) setTime(now time.Duration) {
 	if now-p.now >= p.timing.Lease/2 {
 		p.began = now
 	}
@@ -165,7 +165,7 @@
 
 // Poll takes a question. It is answered at once, or held: then [Publisher.Due] answers it.
 func (p *Publisher) Poll(now time.Duration, q Poll) (reply Reply, held bool, err error) {
-	p.takes(now)
+	p.setTime(now)
 	if q.Follower == "" || len(q.Follower) > mostFollowName || len(q.Region) > mostFollowName || q.Number == 0 {
 		return reply, false, &BadPoll{"a follower has a name and a region of 1 to 64 characters, and counts its questions from 1"}
 	}
@@ -321,7 +321,7 @@
 // Due answers the held questions that have an answer now: because there is something new,
 // or because their time is over.
 func (p *Publisher) Due(now time.Duration) (answers []Answer) {
-	p.takes(now)
+	p.setTime(now)
 	looked := p.news()
 	var names []string
 	for name, s := range p.seats {
@@ -359,7 +359,7 @@
 // Tick makes the entries that the log should have: who follows, which version has settled,
 // and which is halted. The caller proposes them; what is not applied is made again.
 func (p *Publisher) Tick(now time.Duration) (entries []Entry) {
-	p.takes(now)
+	p.setTime(now)
 	c := p.catalog
 	if p.now-p.joinAt >= again {
 		joined := map[string]string{}
@@ -455,7 +455,7 @@
 
 // Status tells how all stands.
 func (p *Publisher) Status(now time.Duration) Status {
-	p.takes(now)
+	p.setTime(now)
 	c := p.catalog
 	st := Status{Version: c.Version, Hash: c.Hash, By: c.By, Resources: len(c.Resources), Bytes: c.Set().Size(), Oldest: c.Oldest(), Settled: c.Settled, Halt: c.Halt}
 	names := maps.Clone(c.Followers)
