--- a/distribution/catalog.go
+++ b/distribution/catalog.go
@@ -224,7 +224,7 @@
 		if o.Data == nil {
 			delete(s, o.Key)
 		} else {
-			s[o.Key] = Resource{o.Key, o.Data, o.Line}
+			s[o.Key] = Resource(o)
 		}
 	}
 	return s, nil
--- a/distribution/resource.go
+++ b/distribution/resource.go
@@ -138,7 +138,7 @@
 	Price            float64 `json:"price" toml:"price"`                         // multiplier of the worth
 	OverCost         float64 `json:"over_cost" toml:"over_cost"`                 // part of its worth that a try sent on beyond the quota costs
 	CeilingRate      float64 `json:"ceiling_rate" toml:"ceiling_rate"`           // units a second that fill the hard ceiling's bucket; 0: no ceiling
-	CeilingBurst     float64 `json:"ceiling_burst" toml:"ceiling_burst"`         // the most units that that bucket holds
+	CeilingBurst     float64 `json:"ceiling_burst" toml:"ceiling_burst"`         // the most units that this bucket holds
 	CeilingTolerance float64 `json:"ceiling_tolerance" toml:"ceiling_tolerance"` // how far that bucket may go below 0
 }
 
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -72,9 +72,9 @@
 	r := newRig(t, withAdmin, b.member("s-1"), Member{ID: "s-2", HostPort: "127.0.0.1:1", Phase: PhaseDraining})
 	answers, calls := map[string]int{}, 0
 	c := r.dial()
-	see := func(line, class string) {
+	see := func(class string) {
 		t.Helper()
-		if line = c.line(); strings.HasPrefix(line, "$") {
+		if line := c.line(); strings.HasPrefix(line, "$") {
 			answers["success."+class]++
 		} else if strings.HasPrefix(line, "-BUSY") {
 			answers["busy."+class]++
@@ -107,7 +107,7 @@
 		default:
 			got.Answer("yes")
 		}
-		see("", class)
+		see(class)
 	}
 	// One whose client leaves is open no more.
 	gone := r.dial()
--- a/internal/reactor/simnet/conn.go
+++ b/internal/reactor/simnet/conn.go
@@ -40,7 +40,7 @@
 	blocked  bool // a write found the buffer full
 	accepted time.Duration
 	broken   bool          // the network has reset it
-	sentAt   time.Duration // when the first of what waits in in was sent
+	sentAt   time.Duration // when the first octet still unread was sent
 	cameAt   time.Duration // when the last of what has come did so
 }
 
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -231,7 +231,7 @@
 
 type span struct{ from, to time.Duration }
 
-// over tells whether any of the spans touches the one from from to to.
+// over tells whether any of the spans overlaps the interval [from, to].
 func over(spans []span, from, to time.Duration) bool {
 	return slices.ContainsFunc(spans, func(s span) bool { return s.from <= to && from <= s.to })
 }
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -77,7 +76,7 @@
 			return
 		case <-changed:
 			b, at, changed = r.list(at)
-			if _, err := io.WriteString(w, string(b)); err != nil {
+			if _, err := w.Write(b); err != nil {
 				return
 			}
 		}
