Handle or discard by name the errors that nothing looked at, outside tests

Most can't be acted on (closing a descriptor that is given up, a clean-up, options that are no more than a help): these are discarded by name, with the reason where it is not plain. The try-out ends when a client at rest can't send, the operators' status when its table can't be written, and UsageOf when the kernel's figures are no numbers.

--- a/cmd/tryout/main.go
+++ b/cmd/tryout/main.go
@@ -128,7 +128,9 @@
 			return err
 		}
 		defer c.Close()
-		c.Send("PING")
+		if err := c.Send("PING"); err != nil {
+			return fmt.Errorf("a client at rest: %w", err)
+		}
 	}
 	runFor, end := context.WithTimeout(ctx, time.Duration(cfg.Seconds)*time.Second)
 	defer end()
--- a/cmd/wickarch-fleet/main.go
+++ b/cmd/wickarch-fleet/main.go
@@ -300,7 +300,9 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%.1f%%\t%s\t%d\n", b.Budget, b.Group, b.Out, most, 100*b.Weight, share, b.Of)
 	}
-	t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
 	for _, r := range s.Rollouts {
 		fmt.Print(words(rolloutlink.Status{}, r))
 	}
@@ -423,7 +425,7 @@
 	}
 	t := rollout.Tell(err)
 	if f.JSON {
-		f.print(map[string]any{"error": t})
+		_ = f.print(map[string]any{"error": t}) // plain strings: always made
 	} else {
 		fmt.Fprintf(os.Stderr, "wickarch-fleet: %s (%s)\nwhat to do: %s\n", t.Text, t.Kind, t.Advice)
 	}
--- a/distribution/resource.go
+++ b/distribution/resource.go
@@ -88,7 +88,7 @@
 	h := sha256.New()
 	for _, k := range slices.Sorted(maps.Keys(s)) {
 		data := sha256.Sum256(s[k].Data)
-		io.WriteString(h, string(k))
+		h.Write([]byte(k))
 		h.Write([]byte{0})
 		h.Write(data[:])
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,7 +44,7 @@
 		return nil, &StateFailed{cfg.Dir, err}
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		lock.Close()
+		_ = lock.Close()
 		return nil, &AlreadyRuns{cfg.Dir}
 	}
 	a := &Agent{cfg: cfg, log: log, began: time.Now(), mail: make(chan func(), 64), http: rolloutlink.NewHTTP(2 * cfg.Decides().Report), lock: lock}
@@ -94,7 +94,7 @@
 
 // Run runs until ctx ends. The program goes on without its agent.
 func (a *Agent) Run(ctx context.Context) {
-	defer a.lock.Close()
+	defer func() { _ = a.lock.Close() }()
 	poll := time.NewTicker(a.cfg.poll())
 	defer poll.Stop()
 	looking := false
--- a/internal/agent/program.go
+++ b/internal/agent/program.go
@@ -102,7 +102,7 @@
 	p.boot = a.Start
 	exited := p.exited
 	go func() { // it is no child of ours: the kernel tells its end by this descriptor
-		defer unix.Close(fd)
+		defer func() { _ = unix.Close(fd) }()
 		for {
 			if _, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, -1); !errors.Is(err, unix.EINTR) {
 				break
@@ -124,13 +124,13 @@
 	}
 	name := filepath.Join(p.dir, "program.log")
 	if st, err := os.Stat(name); err == nil && st.Size() > mostLog {
-		os.Rename(name, name+".1")
+		_ = os.Rename(name, name+".1") // or the log grows on: no reason not to start
 	}
 	log, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return &StateFailed{name, err}
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // the program has a descriptor of its own
 	cmd := exec.Command(command[0], command[1:]...)
 	cmd.Env = append(append(os.Environ(), cfg.Program.Env...), "WICKARCH_VERSION="+version, "WICKARCH_MEMBER="+cfg.Name)
 	cmd.Stdout, cmd.Stderr = log, log
@@ -145,7 +145,7 @@
 		if err := replaceFile(p.path(), b); err != nil {
 			// A later agent would start a second one beside it.
 			cmd.Process.Kill()
-			cmd.Wait()
+			_ = cmd.Wait()
 			return &StateFailed{p.path(), err}
 		}
 	}
@@ -163,7 +163,7 @@
 
 func (p *process) signal(s syscall.Signal) {
 	if a := p.lived; a != nil && startOf(a.PID) == a.Start {
-		syscall.Kill(a.PID, s)
+		_ = syscall.Kill(a.PID, s)
 	}
 }
 
--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -65,7 +65,7 @@
 func fill(dir string, id, count uint64, stored replica.Stored) error {
 	path := filepath.Join(dir, file)
 	half := path + ".new"
-	os.Remove(half)
+	_ = os.Remove(half) // mostly there is none; opening it tells what is wrong
 	db, err := bbolt.Open(half, 0o600, &bbolt.Options{Timeout: time.Second})
 	if err != nil {
 		return &DiskFailed{half, err}
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // nothing was written through it
 	return f.Sync()
 }
 
@@ -131,7 +131,7 @@
 		return nil, stored, &DiskFailed{dir, err}
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		lock.Close()
+		_ = lock.Close()
 		return nil, stored, &DiskInUse{path, errors.New("another process has it open")}
 	}
 	d := &Disk{path: path, lock: lock}
@@ -144,7 +144,7 @@
 		}
 	}
 	if err != nil {
-		lock.Close()
+		_ = lock.Close()
 		return nil, replica.Stored{}, err
 	}
 	return d, stored, nil
@@ -165,7 +165,7 @@
 		return s, &DamagedDisk{d.path, err.Error()}
 	}
 	s, err = d.load(id)
-	d.db.Close()
+	_ = d.db.Close()
 	return s, err
 }
 
@@ -293,7 +293,7 @@
 
 // Close closes the file.
 func (d *Disk) Close() error {
-	defer d.lock.Close()
+	defer func() { _ = d.lock.Close() }()
 	return d.db.Close()
 }
 
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -93,7 +93,7 @@
 		s.ln, err = net.Listen("tcp", cfg.Listen)
 	}
 	if err != nil {
-		s.disk.Close()
+		_ = s.disk.Close()
 		return nil, err
 	}
 	return s, nil
@@ -107,17 +107,17 @@
 
 // Serve runs until ctx ends, or the coordinator has to stop; then the error says why.
 func (s *Server) Serve(ctx context.Context) error {
-	defer s.disk.Close()
+	defer func() { _ = s.disk.Close() }() // each write was synced as it was made
 	server := &http.Server{Handler: s.routes(), ReadHeaderTimeout: callTime, ReadTimeout: 2 * callTime, WriteTimeout: orderTime + callTime,
 		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(netutil.LimitListener(s.ln, mostConns)) }()
+	served := make(chan struct{})
+	go func() { _ = server.Serve(netutil.LimitListener(s.ln, mostConns)); close(served) }()
 	ctx, stop := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	err := s.run(ctx, &all)
 	stop()
 	close(s.ended)
-	server.Close()
+	_ = server.Close()
 	<-served
 	all.Wait()
 	return err
@@ -133,7 +133,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			s.replica.Tick(s.now())
+			_ = s.replica.Tick(s.now()) // kept for Err, below
 		case f := <-s.work:
 			f()
 		}
@@ -201,7 +201,7 @@
 			}
 		}
 		// What is lost is sent again by the library.
-		rolloutlink.Call(ctx, c, http.MethodPost, p.address, rolloutlink.PathRaft, batch, nil, rolloutlink.MostReport)
+		_, _ = rolloutlink.Call(ctx, c, http.MethodPost, p.address, rolloutlink.PathRaft, batch, nil, rolloutlink.MostReport)
 	}
 }
 
@@ -374,7 +374,7 @@
 			code = http.StatusMisdirectedRequest
 			var not *rollout.NotLeader
 			if errors.As(err, &not) {
-				s.do(context.Background(), func(done func(error)) { f.Leader = s.replica.Peers()[not.Leader]; done(nil) })
+				_ = s.do(context.Background(), func(done func(error)) { f.Leader = s.replica.Peers()[not.Leader]; done(nil) }) // stopped: no leader is named
 			}
 		case "BadRequest":
 			code = http.StatusBadRequest
--- a/internal/fleetproc/fleet.go
+++ b/internal/fleetproc/fleet.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // the program has a descriptor of its own
 	cmd := exec.Command(p.args[0], p.args[1:]...)
 	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), p.env...), log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -89,7 +89,7 @@
 		return err
 	}
 	done := make(chan struct{})
-	go func() { cmd.Wait(); close(done) }()
+	go func() { _ = cmd.Wait(); close(done) }()
 	p.cmd, p.done = cmd, done
 	return nil
 }
@@ -109,7 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
-		p.cmd.Process.Signal(s)
+		_ = p.cmd.Process.Signal(s)
 	}
 }
 
--- a/internal/follower/store.go
+++ b/internal/follower/store.go
@@ -75,7 +75,7 @@
 func (s *store) unusable(why error) error {
 	s.why = why
 	if s.db != nil {
-		s.db.Close()
+		_ = s.db.Close()
 		s.db = nil
 	}
 	return why
@@ -87,7 +87,7 @@
 			err = &DiskDamaged{s.path, fmt.Sprint(p)}
 		}
 		if err != nil && s.db != nil {
-			s.db.Close()
+			_ = s.db.Close()
 			s.db = nil
 		}
 	}()
@@ -182,7 +182,7 @@
 
 func (s *store) close() {
 	if s.db != nil {
-		s.db.Close()
+		_ = s.db.Close()
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -50,7 +50,7 @@
 func (c *Claim) Awaited() bool {
 	err := lock(c.next, syscall.LOCK_EX|syscall.LOCK_NB)
 	if err == nil {
-		lock(c.next, syscall.LOCK_UN)
+		_ = lock(c.next, syscall.LOCK_UN)
 	}
 	return errors.Is(err, syscall.EWOULDBLOCK)
 }
@@ -62,7 +62,7 @@
 func (c *Claim) Close() {
 	for _, f := range []*os.File{c.held, c.next} {
 		if f != nil {
-			f.Close()
+			_ = f.Close()
 		}
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -236,7 +236,7 @@
 	}
 	s.loop.Do(s.CloseListener)
 	if s.claim != nil {
-		s.claim.Release()
+		_ = s.claim.Release() // Close, deferred above, gives it up at the latest
 	}
 	select {
 	case <-empty:
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -61,7 +61,7 @@
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
 	if err := syscall.SetNonblock(fd, true); err != nil { // or os.NewFile does not register it
-		syscall.Close(fd)
+		_ = syscall.Close(fd)
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
 	file := os.NewFile(uintptr(fd), "epoll")
@@ -70,7 +70,7 @@
 		err = file.SetReadDeadline(time.Time{}) // fails if it is not registered
 	}
 	if err != nil {
-		file.Close()
+		_ = file.Close()
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
 	return &Poller{fd: fd, file: file, raw: raw}, nil
@@ -90,7 +90,7 @@
 
 // Remove ends the watch. Closing a descriptor does so by itself, but not while
 // another process holds the same connection or listener open.
-func (p *Poller) Remove(fd int) { syscall.EpollCtl(p.fd, syscall.EPOLL_CTL_DEL, fd, nil) }
+func (p *Poller) Remove(fd int) { _ = syscall.EpollCtl(p.fd, syscall.EPOLL_CTL_DEL, fd, nil) }
 
 // Wait waits until there are events, Wake is called, or the time is over, and
 // hands the events on. The zero time waits without an end.
@@ -129,7 +129,7 @@
 		return false
 	}
 	if p.expired || !until.Equal(p.until) {
-		p.file.SetReadDeadline(until)
+		_ = p.file.SetReadDeadline(until)
 		p.until, p.expired = until, false
 	}
 	p.parked = true
@@ -160,7 +160,7 @@
 	defer p.mu.Unlock()
 	if p.parked {
 		if !p.expired {
-			p.file.SetReadDeadline(longAgo)
+			_ = p.file.SetReadDeadline(longAgo)
 			p.expired = true
 		}
 		return
@@ -169,4 +169,4 @@
 }
 
 // Close ends the poller. The descriptors stay open.
-func (p *Poller) Close() { p.file.Close() }
+func (p *Poller) Close() { _ = p.file.Close() }
--- a/internal/reactor/simnet/node.go
+++ b/internal/reactor/simnet/node.go
@@ -144,7 +144,7 @@
 	}
 	l := m.Loop
 	life := m.life
-	l.Wait(0, true)
+	_ = l.Wait(0, true) // the simulated world's wait does not fail
 	if m.life != life {
 		return
 	}
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -197,13 +197,13 @@
 	return e == 0 && n > 1 // our own end counts as one
 }
 
-func (k *socket) CloseWrite() { syscall.Shutdown(k.fd, syscall.SHUT_WR) }
+func (k *socket) CloseWrite() { _ = syscall.Shutdown(k.fd, syscall.SHUT_WR) }
 
 func (k *socket) Close() {
 	if k.fd < 0 {
 		return
 	}
-	syscall.Close(k.fd)
+	_ = syscall.Close(k.fd)
 	if k.fd < len(k.world.byFD) && k.world.byFD[k.fd] == k {
 		k.world.byFD[k.fd] = nil
 	}
@@ -228,13 +228,13 @@
 		return nil, files(err)
 	}
 	k := &socket{world: s, handler: h, fd: fd}
-	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
 	if err := syscall.Connect(fd, sa); err != nil && err != syscall.EINPROGRESS && err != syscall.EINTR {
-		syscall.Close(fd)
+		_ = syscall.Close(fd)
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	if err := s.watch(k); err != nil {
-		syscall.Close(fd)
+		_ = syscall.Close(fd)
 		return nil, err
 	}
 	return k, nil
@@ -299,7 +299,7 @@
 		return nil, fmt.Errorf("listen: %q is no inherited descriptor", address)
 	}
 	file := os.NewFile(uintptr(fd), address)
-	defer file.Close() // the listener has a descriptor of its own
+	defer func() { _ = file.Close() }() // the listener has a descriptor of its own
 	return net.FileListener(file)
 }
 
@@ -345,7 +345,7 @@
 		switch err {
 		case nil:
 			if l.each {
-				setOptions(fd) // those that this one does not know it need not have
+				_ = setOptions(fd) // those that this one does not know it need not have
 			}
 			return &socket{world: l.world, fd: fd}, nil
 		case syscall.EAGAIN:
@@ -386,7 +386,7 @@
 	if n, e := l.look(); e == 0 && n == 0 {
 		return false
 	}
-	syscall.SetNonblock(l.fd, true)
+	_ = syscall.SetNonblock(l.fd, true)
 	return true
 }
 
@@ -397,6 +397,6 @@
 		l.world.byFD[l.fd] = nil
 		l.world.poller.Remove(l.fd) // it may be open elsewhere
 		l.fd = -1
-		l.ln.Close()
+		_ = l.ln.Close()
 	}
 }
--- a/internal/simulate/backend.go
+++ b/internal/simulate/backend.go
@@ -70,7 +70,7 @@
 			return
 		}
 		s := &served{backend: b, conn: nc}
-		nc.Watch(s)
+		_ = nc.Watch(s) // of a simulated connection, it does not fail
 	}
 }
 
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -26,20 +26,20 @@
 
 // Answer serves the command with a value.
 func (r Received) Answer(value string) {
-	fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+	_, _ = fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
 }
 
 // Metered serves the command with a value and the figures on use.
 func (r Received) Metered(value, figures string) {
-	fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$-1\r\n", len(value), value, len(figures), figures)
+	_, _ = fmt.Fprintf(r.Conn, "*3\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$-1\r\n", len(value), value, len(figures), figures)
 }
 
 // Line answers with a line such as "-BUSY".
-func (r Received) Line(text string) { fmt.Fprintf(r.Conn, "%s\r\n", text) }
+func (r Received) Line(text string) { _, _ = fmt.Fprintf(r.Conn, "%s\r\n", text) }
 
 // Reset ends the connection by a reset.
 func (r Received) Reset() {
-	r.Conn.(*net.TCPConn).SetLinger(0)
+	_ = r.Conn.(*net.TCPConn).SetLinger(0)
 	r.Conn.Close()
 }
 
@@ -132,7 +132,7 @@
 		}
 		switch {
 		case r.Args[0] == "INFO":
-			fmt.Fprintf(nc, "$%d\r\n%s\r\n", len(LoadReport), LoadReport)
+			_, _ = fmt.Fprintf(nc, "$%d\r\n%s\r\n", len(LoadReport), LoadReport)
 		case b.handle != nil:
 			b.handle(r)
 		default:
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -69,7 +69,7 @@
 				if line == "end" {
 					return
 				}
-				io.WriteString(w, line+"\n")
+				_, _ = io.WriteString(w, line+"\n")
 				w.(http.Flusher).Flush()
 			case <-r.Context().Done():
 				return
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -99,7 +99,7 @@
 			}
 		}
 		if err == io.EOF {
-			to.(*net.TCPConn).CloseWrite()
+			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
 		if err != nil {
@@ -169,7 +169,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for nc := range l.ends {
-		nc.(*net.TCPConn).SetLinger(0)
+		_ = nc.(*net.TCPConn).SetLinger(0)
 		nc.Close()
 		delete(l.ends, nc)
 	}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -71,7 +71,7 @@
 
 // Stop sends SIGTERM and waits for the end. It returns what the program ended with.
 func (p *Process) Stop(patience time.Duration) error {
-	p.Cmd.Process.Signal(syscall.SIGTERM)
+	_ = p.Cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-p.ended:
 	case <-time.After(patience):
@@ -105,7 +105,9 @@
 	}
 	fields := strings.Fields(string(stat)[strings.LastIndexByte(string(stat), ')')+2:])
 	var pages int64
-	fmt.Sscan(fields[21], &pages)
+	if _, err := fmt.Sscan(fields[21], &pages); err != nil {
+		return u, fmt.Errorf("resident pages: %w", err)
+	}
 	u.Resident = pages * int64(os.Getpagesize())
 	files, err := os.ReadDir(base + "/fd")
 	if err != nil {
@@ -120,7 +122,9 @@
 		// In nanoseconds; the process's own figure counts in ticks of 10 ms.
 		if sched, err := os.ReadFile(base + "/task/" + t.Name() + "/schedstat"); err == nil {
 			var ns int64
-			fmt.Sscan(string(sched), &ns)
+			if _, err := fmt.Sscan(string(sched), &ns); err != nil {
+				return u, fmt.Errorf("time on a processor: %w", err)
+			}
 			u.CPU += time.Duration(ns)
 		}
 		status, err := os.ReadFile(base + "/task/" + t.Name() + "/status")
@@ -129,7 +133,9 @@
 		}
 		if _, v, ok := strings.Cut(string(status), "\nvoluntary_ctxt_switches:"); ok {
 			var n int64
-			fmt.Sscan(v, &n)
+			if _, err := fmt.Sscan(v, &n); err != nil {
+				return u, fmt.Errorf("context switches: %w", err)
+			}
 			u.Switches += n
 		}
 	}
--- a/internal/standin/stopped.go
+++ b/internal/standin/stopped.go
@@ -93,7 +93,7 @@
 		if nc, err := b.ln.Accept(); err == nil {
 			nc.Close() // the filler
 		}
-		b.queue(backlog)
+		_ = b.queue(backlog)
 		go b.accept()
 	})
 }
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -33,7 +33,7 @@
 			return nil, []error{fmt.Errorf("%d: %s", at.Position.Line, at.Message)}
 		}
 		n := 1
-		fmt.Sscanf(err.Error(), "toml: line %d", &n) // a value of the wrong type has no error type of its own
+		_, _ = fmt.Sscanf(err.Error(), "toml: line %d", &n) // a value of the wrong type has no error type of its own
 		return nil, []error{fmt.Errorf("%d: %w", n, err)}
 	}
 	f := &File{text: text, keys: meta.Keys()}
--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -417,7 +417,7 @@
 	waits := r.catalog.Settled < r.catalog.Version
 	if waits || r.now >= r.nextPublish {
 		for _, e := range r.publisher.Tick(r.now) {
-			r.putProposal(proposal{Config: &e}) // dropped, it is made again
+			_ = r.putProposal(proposal{Config: &e}) // dropped, it is made again
 		}
 		if err := r.work(); err != nil || r.publisher == nil {
 			return err
