Rename variables that shadow an error still in use

Thirty findings of vet's shadow check in these packages; none hid an error that was lost. The longest closures became functions of their own: a new file's buckets, and what the follower's store reads and writes. Tests of the packages pass.

--- a/cmd/wickarch/descriptors_test.go
+++ b/cmd/wickarch/descriptors_test.go
@@ -109,7 +109,7 @@
 			if s.Process, err = s.node.Start(t.Context(), []string{os.Args[0]}, s.dir, fmt.Sprintf("%s=%d", asLimited, c.starts), "NODE_MGMT="+second); err != nil {
 				t.Fatal(err)
 			}
-			if err := standin.WaitReady(s.Addr, patience); err != nil {
+			if err = standin.WaitReady(s.Addr, patience); err != nil {
 				t.Fatal(err)
 			}
 			if !c.refuses {
@@ -125,8 +125,8 @@
 				full = c.lowered
 			}
 			fills := func() bool { // a moment before it there may have been none left
-				u, err := s.Usage()
-				return err == nil && u.Files >= full*55/100
+				u, unread := s.Usage()
+				return unread == nil && u.Files >= full*55/100
 			}
 			for end := time.Now().Add(patience); !fills(); time.Sleep(time.Millisecond) {
 				if time.Now().After(end) {
@@ -137,9 +137,9 @@
 			call := func(path string) {
 				t.Helper()
 				client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
-				resp, err := client.Get("http://" + second + path)
-				if err != nil {
-					t.Errorf("the second address: %v", err)
+				resp, failed := client.Get("http://" + second + path)
+				if failed != nil {
+					t.Errorf("the second address: %v", failed)
 					return
 				}
 				defer resp.Body.Close()
--- a/cmd/wickarch/starts_test.go
+++ b/cmd/wickarch/starts_test.go
@@ -98,8 +98,8 @@
 	}
 	var nodes []*standin.Process
 	for n := range processes {
-		p, err := start(n, "127.0.0.1:0", s.discovery.Addr(), nil)
-		if err == nil {
+		var p *standin.Process
+		if p, err = start(n, "127.0.0.1:0", s.discovery.Addr(), nil); err == nil {
 			err = standin.WaitReady(p.Addr, patience)
 		}
 		if err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, &StateFailed{cfg.Dir, err}
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = lock.Close()
 		return nil, &AlreadyRuns{cfg.Dir}
 	}
@@ -115,9 +115,9 @@
 			looking = true
 			n := a.lives
 			go func() { // a program that hangs must not hold up its agent
-				ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+				lookCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
 				defer cancel()
-				s := a.driver.look(ctx)
+				s := a.driver.look(lookCtx)
 				a.mail <- func() {
 					looking = false
 					if n != a.lives {
--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -71,14 +71,7 @@
 		return &DiskFailed{half, err}
 	}
 	d := &Disk{path: path, db: db, count: count}
-	err = db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{bucketMeta, bucketEntries} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
-		}
-		return put(tx.Bucket(bucketMeta), keyID, binary.BigEndian.AppendUint64(nil, id))
-	})
+	err = db.Update(func(tx *bbolt.Tx) error { return createBuckets(tx, id) })
 	if err == nil {
 		err = d.commit(func(meta, log *bbolt.Bucket) error {
 			return d.keep(meta, log, stored.State, stored.Entries, stored.Snapshot)
@@ -102,6 +95,16 @@
 	return nil
 }
 
+// createBuckets makes the buckets of a new file, and writes whose it is.
+func createBuckets(tx *bbolt.Tx, id uint64) error {
+	for _, name := range [][]byte{bucketMeta, bucketEntries} {
+		if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+			return err
+		}
+	}
+	return put(tx.Bucket(bucketMeta), keyID, binary.BigEndian.AppendUint64(nil, id))
+}
+
 // syncFolder keeps a rename through a loss of power.
 func syncFolder(dir string) error {
 	f, err := os.Open(dir)
@@ -130,7 +133,7 @@
 	if err != nil {
 		return nil, stored, &DiskFailed{dir, err}
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = lock.Close()
 		return nil, stored, &DiskInUse{path, errors.New("another process has it open")}
 	}
@@ -169,9 +172,10 @@
 	return s, err
 }
 
-func (d *Disk) load(id uint64) (s replica.Stored, err error) {
+func (d *Disk) load(id uint64) (replica.Stored, error) {
+	var s replica.Stored
 	damaged := func(format string, args ...any) error { return &DamagedDisk{d.path, fmt.Sprintf(format, args...)} }
-	err = d.db.View(func(tx *bbolt.Tx) error {
+	err := d.db.View(func(tx *bbolt.Tx) error {
 		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
 		if meta == nil || entries == nil {
 			return damaged("a part is missing")
--- a/internal/coordinator/disk_test.go
+++ b/internal/coordinator/disk_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := Create(dir, 1, stored); err != nil {
+	if err = Create(dir, 1, stored); err != nil {
 		t.Fatal(err)
 	}
 	d, _, err := Open(dir, 1)
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -169,10 +169,10 @@
 		p = nil
 	}
 	if p == nil {
-		ctx, stop := context.WithCancel(ctx)
+		peerCtx, stop := context.WithCancel(ctx)
 		p = &peer{address: address, queue: make(chan []byte, mostQueued), stop: stop}
 		s.peers[m.To] = p
-		all.Go(func() { p.carry(ctx, s.http) })
+		all.Go(func() { p.carry(peerCtx, s.http) })
 	}
 	select {
 	case p.queue <- m.Data:
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -53,11 +53,11 @@
 		{Version: 1, Hash: sum(a, b), Set: []distribution.Resource{a, b}, Whole: true},
 		{Version: 2, Hash: sum(a, c), Set: []distribution.Resource{c}, Delete: []distribution.Key{b.Key}, Settled: 1, Before: old},
 	} {
-		if err := s.save(what); err != nil {
+		if err = s.save(what); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, _, err := openStore(dir); !as[*FollowsAlready](err) {
+	if _, _, err = openStore(dir); !as[*FollowsAlready](err) {
 		t.Errorf("a folder that is held is opened: %v", err)
 	}
 	s.close()
@@ -65,7 +65,7 @@
 	if err != nil || kept.Version != 2 || kept.Hash != sum(kept.Resources...) || kept.Hash != sum(a, c) || kept.Settled != 1 || len(kept.Before) != 1 || kept.Resources[0].Line != 3 {
 		t.Fatalf("%+v, %v", kept, err)
 	}
-	if err := s.save(&distribution.Save{Version: 3, Hash: sum(b), Set: []distribution.Resource{b}, Whole: true}); err != nil {
+	if err = s.save(&distribution.Save{Version: 3, Hash: sum(b), Set: []distribution.Resource{b}, Whole: true}); err != nil {
 		t.Fatal(err)
 	}
 	s.close()
--- a/internal/follower/store.go
+++ b/internal/follower/store.go
@@ -52,7 +52,7 @@
 // be used comes the reason; it works all the same and keeps nothing.
 func openStore(dir string) (s *store, kept *distribution.Kept, err error) {
 	s = &store{path: filepath.Join(dir, fileName)}
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err = os.MkdirAll(dir, 0o700); err != nil {
 		return s, nil, s.unusable(&DiskFailed{dir, err})
 	}
 	kept, err = s.open()
@@ -92,7 +92,7 @@
 		}
 	}()
 	// bbolt makes a file with four pages.
-	if info, err := os.Stat(s.path); err == nil && (info.Size() > mostFile || info.Size() > 0 && info.Size() < int64(4*os.Getpagesize())) {
+	if info, missing := os.Stat(s.path); missing == nil && (info.Size() > mostFile || info.Size() > 0 && info.Size() < int64(4*os.Getpagesize())) {
 		return nil, &DiskDamaged{s.path, fmt.Sprintf("%d bytes", info.Size())}
 	}
 	s.db, err = bbolt.Open(s.path, 0o600, &bbolt.Options{Timeout: lockWait})
@@ -105,27 +105,34 @@
 		return nil, &DiskFailed{s.path, err}
 	}
 	err = s.db.View(func(tx *bbolt.Tx) error {
-		at := tx.Bucket(bucketHead)
-		if at == nil {
-			return nil
-		}
-		var h head
-		if err := unseal(at.Get(keyHead), &h); err != nil {
-			return &DiskDamaged{s.path, err.Error()}
-		}
-		kept = &distribution.Kept{State: distribution.State{Version: h.Version, Hash: h.Hash}, Settled: h.Settled, Before: h.Before}
-		resources := tx.Bucket(bucketResources)
-		if resources == nil {
-			return &DiskDamaged{s.path, "no resources"}
+		kept, err = s.read(tx)
+		return err
+	})
+	return kept, err
+}
+
+// read reads the version that is kept, nil for none.
+func (s *store) read(tx *bbolt.Tx) (*distribution.Kept, error) {
+	at := tx.Bucket(bucketHead)
+	if at == nil {
+		return nil, nil
+	}
+	var h head
+	if err := unseal(at.Get(keyHead), &h); err != nil {
+		return nil, &DiskDamaged{s.path, err.Error()}
+	}
+	kept := &distribution.Kept{State: distribution.State{Version: h.Version, Hash: h.Hash}, Settled: h.Settled, Before: h.Before}
+	resources := tx.Bucket(bucketResources)
+	if resources == nil {
+		return nil, &DiskDamaged{s.path, "no resources"}
+	}
+	err := resources.ForEach(func(k, v []byte) error {
+		var r distribution.Resource
+		if err := unseal(v, &r); err != nil || string(r.Key) != string(k) {
+			return &DiskDamaged{s.path, fmt.Sprintf("resource %q: %v", k, err)}
 		}
-		return resources.ForEach(func(k, v []byte) error {
-			var r distribution.Resource
-			if err := unseal(v, &r); err != nil || string(r.Key) != string(k) {
-				return &DiskDamaged{s.path, fmt.Sprintf("resource %q: %v", k, err)}
-			}
-			kept.Resources = append(kept.Resources, r)
-			return nil
-		})
+		kept.Resources = append(kept.Resources, r)
+		return nil
 	})
 	return kept, err
 }
@@ -140,44 +147,47 @@
 			err = s.unusable(&DiskDamaged{s.path, fmt.Sprint(p)})
 		}
 	}()
-	err = s.db.Update(func(tx *bbolt.Tx) error {
-		if what.Whole && tx.Bucket(bucketResources) != nil {
-			if err := tx.DeleteBucket(bucketResources); err != nil {
-				return err
-			}
-		}
-		resources, err := tx.CreateBucketIfNotExists(bucketResources)
-		if err != nil {
+	if err = s.db.Update(func(tx *bbolt.Tx) error { return write(tx, what) }); err != nil {
+		return &DiskFailed{s.path, err}
+	}
+	return nil
+}
+
+// write writes one version in the place of the one before.
+func write(tx *bbolt.Tx, what *distribution.Save) error {
+	if what.Whole && tx.Bucket(bucketResources) != nil {
+		if err := tx.DeleteBucket(bucketResources); err != nil {
 			return err
 		}
-		for _, k := range what.Delete {
-			if err := resources.Delete([]byte(k)); err != nil {
-				return err
-			}
-		}
-		for _, r := range what.Set {
-			v, err := seal(r)
-			if err != nil {
-				return err
-			}
-			if err := resources.Put([]byte(r.Key), v); err != nil {
-				return err
-			}
-		}
-		at, err := tx.CreateBucketIfNotExists(bucketHead)
-		if err != nil {
+	}
+	resources, err := tx.CreateBucketIfNotExists(bucketResources)
+	if err != nil {
+		return err
+	}
+	for _, k := range what.Delete {
+		if err = resources.Delete([]byte(k)); err != nil {
 			return err
 		}
-		v, err := seal(head{what.Version, what.Hash, what.Settled, what.Before})
-		if err != nil {
+	}
+	for _, r := range what.Set {
+		if err = putSealed(resources, []byte(r.Key), r); err != nil {
 			return err
 		}
-		return at.Put(keyHead, v)
-	})
+	}
+	at, err := tx.CreateBucketIfNotExists(bucketHead)
 	if err != nil {
-		return &DiskFailed{s.path, err}
+		return err
 	}
-	return nil
+	return putSealed(at, keyHead, head{what.Version, what.Hash, what.Settled, what.Before})
+}
+
+// putSealed writes a value behind its checksum under a key.
+func putSealed(bucket *bbolt.Bucket, key []byte, value any) error {
+	v, err := seal(value)
+	if err != nil {
+		return err
+	}
+	return bucket.Put(key, v)
 }
 
 func (s *store) close() {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -170,7 +170,7 @@
 		Zones []string `json:"zones"`
 		Kinds []string `json:"kinds"`
 	}
-	if err := json.Unmarshal(file.Settings, &s); err != nil {
+	if err = json.Unmarshal(file.Settings, &s); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	cfg := Config{
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -266,7 +266,7 @@
 		wait(t, "a command", b.Got).Answer("yes")
 		c.want("$3\r\nyes")
 		r.stop()
-		if err := wait(t, "the end", r.ended); err != nil {
+		if err = wait(t, "the end", r.ended); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -297,7 +297,7 @@
 	}
 	t.Cleanup(func() { // whoever waits for a connection gets one, and waits for no other
 		raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
-		if c, err := standin.Dial(r.server.Addr(), patience); err == nil {
+		if c, refused := standin.Dial(r.server.Addr(), patience); refused == nil {
 			c.Close()
 		}
 	})
--- a/internal/ingress/terms_test.go
+++ b/internal/ingress/terms_test.go
@@ -45,7 +45,7 @@
 	}
 	put := func(u *distribution.InUse) {
 		t.Helper()
-		if err := in.Configure(u); err != nil {
+		if err = in.Configure(u); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
-	if err := syscall.SetNonblock(fd, true); err != nil { // or os.NewFile does not register it
+	if err = syscall.SetNonblock(fd, true); err != nil { // or os.NewFile does not register it
 		_ = syscall.Close(fd)
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
--- a/internal/rolloutlink/link.go
+++ b/internal/rolloutlink/link.go
@@ -105,9 +105,9 @@
 func Call(ctx context.Context, c *http.Client, method, address, path string, in, out any, most int64) (leader string, err error) {
 	var body io.Reader
 	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return "", fmt.Errorf("rolloutlink: %w", err)
+		b, unwritable := json.Marshal(in)
+		if unwritable != nil {
+			return "", fmt.Errorf("rolloutlink: %w", unwritable)
 		}
 		body = bytes.NewReader(b)
 	}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -105,7 +105,7 @@
 	}
 	fields := strings.Fields(string(stat)[strings.LastIndexByte(string(stat), ')')+2:])
 	var pages int64
-	if _, err := fmt.Sscan(fields[21], &pages); err != nil {
+	if _, err = fmt.Sscan(fields[21], &pages); err != nil {
 		return u, fmt.Errorf("resident pages: %w", err)
 	}
 	u.Resident = pages * int64(os.Getpagesize())
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -81,7 +81,7 @@
 		return r, 0, resp.ErrMalformed
 	}
 	if n < len(buf) && buf[n] == '$' {
-		if size, used, err := resp.Length(buf[n:]); err == nil && used > 0 && large(size) {
+		if size, used, malformed := resp.Length(buf[n:]); malformed == nil && used > 0 && large(size) {
 			r.Status, r.large = choice.OK, size
 			return r, n + used, nil
 		}
--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -348,10 +348,10 @@
 		if r.leader == nil {
 			return &rollout.NotLeader{Leader: r.Leads()}
 		}
-		var add []rollout.Entry
-		var err error
-		if reply, add, err = r.leader.Report(r.now, report); err != nil {
-			return err
+		answer, add, refused := r.leader.Report(r.now, report)
+		reply = answer
+		if refused != nil {
+			return refused
 		}
 		r.propose(add)
 		return r.work()
