Move package door to admission, named for what it does

The package decides which clients' connections are admitted and kept. The configuration file keeps its keys ([door]).

--- a/door/door.go
+++ b/admission/admission.go
@@ -1,4 +1,4 @@
-// Package door decides which connections keep their places at an ingress.
+// Package admission decides which connections keep their places at an ingress.
 //
 // Connections at rest cost little until places run short; then they keep out
 // the clients that have something to ask. The door knows every connection in
@@ -10,7 +10,7 @@
 // Like package choice it does no I/O, starts no goroutine and reads no clock:
 // the owner tells it what happens and when, and closes what Due names. All
 // operations take constant time, whatever the number of connections.
-package door
+package admission
 
 import (
 	"errors"
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"wickarch/door"
+	"wickarch/admission"
 	"wickarch/internal/tomlfile"
 )
 
@@ -16,7 +16,7 @@
 	Door *Door `toml:"door"`
 }
 
-// Door sets marks of the door; see package door. A mark that is left out
+// Door sets marks of the door; see package admission. A mark that is left out
 // follows from the platform's limits. Counts are of connections.
 type Door struct {
 	Places        *int `toml:"places"`
@@ -34,7 +34,7 @@
 }
 
 // Apply puts the marks of the file in place of those that follow from the limits.
-func (d *Door) Apply(m door.Marks) door.Marks {
+func (d *Door) Apply(m admission.Marks) admission.Marks {
 	if d == nil {
 		return m
 	}
@@ -49,7 +49,7 @@
 		}
 	}
 	if d.Places != nil { // the others follow in the same shares
-		m = door.Defaults(*d.Places, *d.Places)
+		m = admission.Defaults(*d.Places, *d.Places)
 	}
 	count(&m.Places, d.Places)
 	count(&m.Spare, d.Spare)
@@ -79,7 +79,7 @@
 		return Own{}, faults
 	}
 	if own.Door != nil {
-		m := own.Door.Apply(door.Defaults(sampleSockets, sampleSockets))
+		m := own.Door.Apply(admission.Defaults(sampleSockets, sampleSockets))
 		if err := m.Check(); err != nil {
 			name, _, _ := strings.Cut(err.Error(), ":")
 			file.Fault(file.First("door", name, "high", "low", "floor", "spare", "places"), "%v", err)
--- a/internal/config/own_test.go
+++ b/internal/config/own_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wickarch/door"
+	"wickarch/admission"
 )
 
 func TestMarksOfTheFileGoBeforeThoseOfTheLimits(t *testing.T) {
@@ -15,12 +15,12 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	want := door.Defaults(1000, 1000)
+	want := admission.Defaults(1000, 1000)
 	want.High, want.RestLeast = 900, 75*time.Millisecond
-	if got := own.Door.Apply(door.Defaults(211, 128)); got != want {
+	if got := own.Door.Apply(admission.Defaults(211, 128)); got != want {
 		t.Errorf("marks %+v, want %+v", got, want)
 	}
-	if got := (*Door)(nil).Apply(door.Defaults(211, 128)); got != door.Defaults(211, 128) {
+	if got := (*Door)(nil).Apply(admission.Defaults(211, 128)); got != admission.Defaults(211, 128) {
 		t.Errorf("without a file: %+v", got)
 	}
 }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -8,7 +8,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"wickarch/door"
+	"wickarch/admission"
 	"wickarch/internal/reactor"
 	"wickarch/internal/resp"
 )
@@ -119,7 +119,7 @@
 	net   reactor.Conn // nil once closed
 	index int          // in front.clients
 	wrong int32        // wrong commands so far
-	place door.Place[*client]
+	place admission.Place[*client]
 	timer reactor.Timer
 
 	first, last *slot // answers due, in order
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -20,8 +20,8 @@
 	"syscall"
 	"time"
 
+	"wickarch/admission"
 	"wickarch/choice"
-	"wickarch/door"
 	"wickarch/internal/config"
 	"wickarch/internal/reactor"
 	"wickarch/internal/wire"
@@ -69,7 +69,7 @@
 // marks are the bounds of the door. Clients hold a third of the descriptors at
 // most for requests, and find no connection beyond: past half of that, those at
 // rest go sooner the fewer places are left.
-func (l Limits) marks() door.Marks { return door.Defaults(l.clients(), l.Sockets/usefulPart) }
+func (l Limits) marks() admission.Marks { return admission.Defaults(l.clients(), l.Sockets/usefulPart) }
 
 // admins bounds the connections to the second address, which the shares of
 // clients and backends leave room for.
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"wickarch/door"
+	"wickarch/admission"
 	"wickarch/internal/reactor"
 )
 
@@ -27,7 +27,7 @@
 	cfg     *Config
 	loop    *loop
 	ln      reactor.Listener // nil once no further connection is taken
-	door    *door.Door[*client]
+	door    *admission.Door[*client]
 	clients []*client // in no order
 	buf     []byte    // read into by every connection in turn
 	out     []byte    // written from by every connection in turn
@@ -52,7 +52,7 @@
 	if marks.Places >= cfg.Limits.Sockets {
 		return nil, fmt.Errorf("door.places: %d, with %d descriptors in all", marks.Places, cfg.Limits.Sockets)
 	}
-	d, err := door.New[*client](marks)
+	d, err := admission.New[*client](marks)
 	if err != nil {
 		return nil, err
 	}
@@ -205,7 +205,7 @@
 	}
 	f.closeParting(now)
 	f.accept(now)
-	f.door.Due(now, f.waiting(), func(p *door.Place[*client]) bool { return p.Owner.dismiss() })
+	f.door.Due(now, f.waiting(), func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 	if f.acceptable && f.door.Room() {
 		f.accept(now) // in the places that have become free
 	}
@@ -234,7 +234,7 @@
 func (f *front) shrink(now time.Duration) {
 	f.door.Shrink()
 	f.retryAt, f.growAt = now+acceptRetry, now+growAfter
-	f.door.Due(now, true, func(p *door.Place[*client]) bool { return p.Owner.dismiss() })
+	f.door.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 }
 
 // add serves a new connection.
