Rename what package admission exports to the standard terms

Door is Controller, Marks are Limits, rest and resting are idle; Work, Rest, Enter, Leave, Room and Next say what they do (MarkBusy, MarkIdle, Admit, Release, HasRoom, NextDue). The keys of the configuration file stay ([door], rest_most_ms).

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -12,14 +12,14 @@
 
 const ms = time.Millisecond
 
-func marks() Marks {
-	return Marks{Places: 9, Spare: 2, Useful: 8, High: 5, Low: 3, Floor: 2,
-		RestMost: 2000 * ms, RestLeast: 50 * ms, SilentMost: 250 * ms, SilentLeast: 50 * ms, Batch: 3, Pause: ms}
+func limits() Limits {
+	return Limits{Places: 9, Spare: 2, Useful: 8, High: 5, Low: 3, Floor: 2,
+		IdleMax: 2000 * ms, IdleMin: 50 * ms, SilentMax: 250 * ms, SilentMin: 50 * ms, Batch: 3, Pause: ms}
 }
 
-// plain is the model: what a door knows, kept in a list that is searched.
+// plain is the model: what a controller knows, kept in a list that is searched.
 type plain struct {
-	marks    Marks
+	limits   Limits
 	places   []*Place[int]
 	trimming bool
 	draining bool
@@ -43,22 +43,22 @@
 	return n
 }
 
-// check compares the door's counts with the model's.
-func (m *plain) check(t *rapid.T, d *Door[int]) {
-	f := d.Figures()
+// check compares the controller's counts with the model's.
+func (m *plain) check(t *rapid.T, d *Controller[int]) {
+	f := d.Stats()
 	if f.Open != len(m.places) || f.Asked != m.asked() || f.Open-f.Leaving != m.staying() {
-		t.Fatalf("the door counts %+v; there are %d, of them %d that asked and stay, %d that stay",
+		t.Fatalf("the controller counts %+v; there are %d, of them %d that asked and stay, %d that stay",
 			f, len(m.places), m.asked(), m.staying())
 	}
-	if d.Room() != (len(m.places) < m.marks.Places) {
-		t.Fatalf("room is %v with %d of %d places taken", d.Room(), len(m.places), m.marks.Places)
+	if d.HasRoom() != (len(m.places) < m.limits.Places) {
+		t.Fatalf("room is %v with %d of %d places taken", d.HasRoom(), len(m.places), m.limits.Places)
 	}
 }
 
 // due checks each choice of Due against all that it could have chosen, and what
 // it has left open afterwards.
-func (m *plain) due(t *rapid.T, d *Door[int], now time.Duration, waiting bool) (named []*Place[int]) {
-	at, any := d.Next(waiting)
+func (m *plain) due(t *rapid.T, d *Controller[int], now time.Duration, waiting bool) (named []*Place[int]) {
+	at, any := d.NextDue(waiting)
 	held := d.next > now
 	spoke := 0
 	var back []*Place[int]
@@ -69,17 +69,17 @@
 		}
 		switch {
 		case m.draining:
-		case p.asked && asked <= m.marks.Floor:
-			t.Fatalf("one that asked is closed with %d left, at a floor of %d", asked, m.marks.Floor)
-		case p.asked && asked <= m.marks.Low && !waiting:
+		case p.asked && asked <= m.limits.Floor:
+			t.Fatalf("one that asked is closed with %d left, at a floor of %d", asked, m.limits.Floor)
+		case p.asked && asked <= m.limits.Low && !waiting:
 			t.Fatalf("trimmed to %d, below the low mark", asked-1)
-		case p.asked && now-p.since < m.marks.RestLeast:
+		case p.asked && now-p.since < m.limits.IdleMin:
 			t.Fatalf("closed after a rest of %v", now-p.since)
-		case !p.asked && now-p.since < m.marks.SilentLeast:
+		case !p.asked && now-p.since < m.limits.SilentMin:
 			t.Fatalf("closed after %v without a request", now-p.since)
 		}
 		for _, o := range m.places {
-			if o.state == resting && p.asked && o.since < p.since {
+			if o.state == idle && p.asked && o.since < p.since {
 				t.Fatalf("one that rests since %v is closed before one since %v", p.since, o.since)
 			}
 		}
@@ -96,38 +96,38 @@
 			t.Fatalf("one that spoke as it was named is %v, not busy", p.state)
 		}
 	}
-	if len(named)+spoke > m.marks.Batch {
-		t.Fatalf("%d closed at once, %d at most", len(named), m.marks.Batch)
+	if len(named)+spoke > m.limits.Batch {
+		t.Fatalf("%d closed at once, %d at most", len(named), m.limits.Batch)
 	}
 	if len(named)+spoke > 0 && (!any || now < at) {
-		t.Fatalf("closes at %v, though Next told %v, %v", now, at, any)
+		t.Fatalf("closes at %v, though NextDue told %v, %v", now, at, any)
 	}
 	if len(named)+spoke == 0 && any && now >= at && !held {
-		t.Fatalf("closes nothing at %v, though Next told %v", now, at)
+		t.Fatalf("closes nothing at %v, though NextDue told %v", now, at)
 	}
 	if held && len(named)+spoke > 0 {
 		t.Fatal("a batch comes before its pause is over")
 	}
-	if held || len(named)+spoke == m.marks.Batch {
+	if held || len(named)+spoke == m.limits.Batch {
 		return named
 	}
-	if asked := m.asked(); asked > m.marks.High {
+	if asked := m.asked(); asked > m.limits.High {
 		m.trimming = true
-	} else if asked <= m.marks.Low {
+	} else if asked <= m.limits.Low {
 		m.trimming = false
 	}
 	leavingNow := len(m.places) - m.staying()
 	for _, p := range m.places {
-		idle := now - p.since
+		age := now - p.since
 		switch {
-		case m.draining && p.state == resting, m.draining && p.state == silent && idle >= m.marks.SilentMost:
+		case m.draining && p.state == idle, m.draining && p.state == silent && age >= m.limits.SilentMax:
 			t.Fatal("one at rest stays through a drain")
-		case waiting && leavingNow == 0 && p.state == resting && m.asked() > m.marks.Floor && idle >= m.marks.RestLeast:
-			t.Fatalf("a client waits while one that rests for %v keeps its place", idle)
-		case waiting && leavingNow == 0 && p.state == silent && m.staying() >= m.marks.Places && idle >= m.marks.SilentLeast:
-			t.Fatalf("a client waits while one that is silent for %v keeps its place", idle)
-		case m.trimming && p.state == resting && idle >= m.marks.RestMost:
-			t.Fatalf("one rests for %v, not yet down to the low mark", idle)
+		case waiting && leavingNow == 0 && p.state == idle && m.asked() > m.limits.Floor && age >= m.limits.IdleMin:
+			t.Fatalf("a client waits while one that rests for %v keeps its place", age)
+		case waiting && leavingNow == 0 && p.state == silent && m.staying() >= m.limits.Places && age >= m.limits.SilentMin:
+			t.Fatalf("a client waits while one that is silent for %v keeps its place", age)
+		case m.trimming && p.state == idle && age >= m.limits.IdleMax:
+			t.Fatalf("one rests for %v, not yet down to the low mark", age)
 		}
 	}
 	return named
@@ -142,28 +142,28 @@
 	}
 	for range 45 {
 		p := &Place[int]{}
-		d.Enter(p, 0)
-		d.Work(p, true)
-		d.Rest(p, 0)
+		d.Admit(p, 0)
+		d.MarkBusy(p, true)
+		d.MarkIdle(p, 0)
 	}
 	d.Shrink()
-	if err := d.marks.Check(); err != nil {
+	if err := d.limits.Check(); err != nil {
 		t.Error(err)
 	}
-	for now := time.Second; !d.Room(); now += time.Second {
-		before := d.Figures().Open
-		d.Due(now, true, func(p *Place[int]) bool { d.Leave(p); return false })
-		if d.Figures().Open == before {
-			t.Fatalf("no room with %d of %d at rest", before, d.marks.Places)
+	for now := time.Second; !d.HasRoom(); now += time.Second {
+		before := d.Stats().Open
+		d.Due(now, true, func(p *Place[int]) bool { d.Release(p); return false })
+		if d.Stats().Open == before {
+			t.Fatalf("no room with %d of %d at rest", before, d.limits.Places)
 		}
 	}
 }
 
-// Any sequence of events keeps the counts, the order, the floor and the marks.
+// Any sequence of events keeps the counts, the order, the floor and the limits.
 func TestDoorKeepsItsMarks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &plain{marks: marks()}
-		d, err := New[int](m.marks)
+		m := &plain{limits: limits()}
+		d, err := New[int](m.limits)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -182,41 +182,41 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"enter": func(t *rapid.T) {
-				if !d.Room() {
+				if !d.HasRoom() {
 					t.Skip("full")
 				}
 				p := &Place[int]{}
 				m.places = append(m.places, p)
-				d.Enter(p, now)
+				d.Admit(p, now)
 			},
 			"crowd": func(t *rapid.T) { // that has asked and rests
-				for n := rapid.IntRange(1, 9).Draw(t, "clients"); n > 0 && d.Room(); n-- {
+				for n := rapid.IntRange(1, 9).Draw(t, "clients"); n > 0 && d.HasRoom(); n-- {
 					p := &Place[int]{}
 					m.places = append(m.places, p)
-					d.Enter(p, now)
-					d.Work(p, true)
-					d.Rest(p, now)
+					d.Admit(p, now)
+					d.MarkBusy(p, true)
+					d.MarkIdle(p, now)
 				}
 			},
 			"gone": func(*rapid.T) {
 				for _, p := range m.places {
 					if p.Leaving() {
-						d.Leave(p)
+						d.Release(p)
 					}
 				}
-				m.places = slices.DeleteFunc(m.places, func(p *Place[int]) bool { return p.state == away })
+				m.places = slices.DeleteFunc(m.places, func(p *Place[int]) bool { return p.state == absent })
 			},
 			"work": func(t *rapid.T) {
 				p := one(t, "place", func(p *Place[int]) bool { return true })
-				d.Work(p, rapid.Bool().Draw(t, "asked"))
+				d.MarkBusy(p, rapid.Bool().Draw(t, "asked"))
 			},
 			"rest": func(t *rapid.T) {
-				d.Rest(one(t, "busy place", func(p *Place[int]) bool { return p.state == busy }), now)
+				d.MarkIdle(one(t, "busy place", func(p *Place[int]) bool { return p.state == busy }), now)
 			},
 			"leave": func(t *rapid.T) {
 				p := one(t, "place", func(p *Place[int]) bool { return true })
-				d.Leave(p)
-				d.Leave(p) // told twice, it counts once
+				d.Release(p)
+				d.Release(p) // told twice, it counts once
 				m.places = slices.DeleteFunc(m.places, func(o *Place[int]) bool { return o == p })
 			},
 			"time": func(t *rapid.T) {
@@ -228,16 +228,16 @@
 					m.draining = true
 				}
 			},
-			"due": func(t *rapid.T) { m.due(t, d, now, !d.Room() && rapid.Bool().Draw(t, "waiting")) },
+			"due": func(t *rapid.T) { m.due(t, d, now, !d.HasRoom() && rapid.Bool().Draw(t, "waiting")) },
 			"":    func(t *rapid.T) { m.check(t, d) },
 		})
 	})
 }
 
-// world is a door in virtual time, between a listener's queue and clients.
+// world is a controller in virtual time, between a listener's queue and clients.
 type world struct {
 	t      *testing.T
-	d      *Door[int]
+	d      *Controller[int]
 	rng    *rand.Rand
 	now    time.Duration
 	queue  []arrival // clients that wait to be taken
@@ -274,21 +274,21 @@
 		case c.Leaving():
 			w.leave(c)
 		case c.state == busy && w.now >= c.until:
-			w.d.Rest(&c.Place, w.now)
+			w.d.MarkIdle(&c.Place, w.now)
 			c.until = w.now + hold
-		case c.state == resting && w.now >= c.until:
+		case c.state == idle && w.now >= c.until:
 			w.leave(c)
 		}
 	}
-	for len(w.queue) > 0 && w.d.Room() {
+	for len(w.queue) > 0 && w.d.HasRoom() {
 		a := w.queue[0]
 		w.queue = w.queue[1:]
 		c := &conn{usual: a.usual}
 		w.open = append(w.open, c)
-		w.d.Enter(&c.Place, w.now)
+		w.d.Admit(&c.Place, w.now)
 		if a.usual {
 			w.waits = append(w.waits, w.now-a.at)
-			w.d.Work(&c.Place, true)
+			w.d.MarkBusy(&c.Place, true)
 			c.until = w.now + time.Duration(5+w.rng.IntN(95))*ms
 		}
 	}
@@ -298,18 +298,18 @@
 		return
 	}
 	for _, c := range w.open {
-		if c.state == resting && w.now-c.since > w.d.marks.RestLeast && w.d.asked > w.d.marks.Floor {
+		if c.state == idle && w.now-c.since > w.d.limits.IdleMin && w.d.asked > w.d.limits.Floor {
 			w.t.Fatalf("at %v a client waits while one that rests since %v keeps its place", w.now, c.since)
 		}
 	}
 }
 
 func (w *world) leave(c *conn) {
-	w.d.Leave(&c.Place)
+	w.d.Release(&c.Place)
 	w.open = slices.DeleteFunc(w.open, func(o *conn) bool { return o == c })
 }
 
-func newWorld(t *testing.T, seed uint64, m Marks) *world {
+func newWorld(t *testing.T, seed uint64, m Limits) *world {
 	d, err := New[int](m)
 	if err != nil {
 		t.Fatal(err)
@@ -317,9 +317,9 @@
 	return &world{t: t, d: d, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
-func large() Marks {
-	return Marks{Places: 211, Spare: 13, Useful: 128, High: 64, Low: 56, Floor: 32, RestMost: 2000 * ms,
-		RestLeast: 50 * ms, SilentMost: 250 * ms, SilentLeast: 50 * ms, Batch: 64, Pause: ms}
+func large() Limits {
+	return Limits{Places: 211, Spare: 13, Useful: 128, High: 64, Low: 56, Floor: 32, IdleMax: 2000 * ms,
+		IdleMin: 50 * ms, SilentMax: 250 * ms, SilentMin: 50 * ms, Batch: 64, Pause: ms}
 }
 
 // Clients open a connection for each request and hold it for 2 s. Held so long,
@@ -331,7 +331,7 @@
 		most := 0
 		for range 10_000 {
 			w.step(0.14, 0, 2*time.Second)
-			most = max(most, w.d.Figures().Asked)
+			most = max(most, w.d.Stats().Asked)
 		}
 		if most > 120 {
 			t.Errorf("seed %d: %d places of 128 are taken", seed, most)
@@ -385,19 +385,19 @@
 }
 
 func TestMassCloseGoesInPacedBatches(t *testing.T) {
-	m := marks()
+	m := limits()
 	m.Places, m.Spare, m.Batch = 50_000, 0, 64
 	d, err := New[int](m)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for range 50_000 {
-		d.Enter(&Place[int]{}, 0)
+		d.Admit(&Place[int]{}, 0)
 	}
 	d.Drain()
-	total, now := 0, m.SilentMost
+	total, now := 0, m.SilentMax
 	for batches := 0; ; batches++ {
-		at, any := d.Next(false)
+		at, any := d.NextDue(false)
 		if !any {
 			break
 		}
@@ -406,31 +406,31 @@
 		}
 		now = at
 		n := 0
-		d.Due(now, false, func(p *Place[int]) bool { n++; d.Leave(p); return false })
+		d.Due(now, false, func(p *Place[int]) bool { n++; d.Release(p); return false })
 		if n > m.Batch {
 			t.Fatalf("%d at once", n)
 		}
 		total += n
 	}
-	if total != 50_000 || now > m.SilentMost+time.Second {
+	if total != 50_000 || now > m.SilentMax+time.Second {
 		t.Errorf("%d closed in %v", total, now)
 	}
 }
 
 // However short places are, the floor's connections stay.
 func TestFloorIsKeptWhenAllElseIsBusy(t *testing.T) {
-	m := marks()
+	m := limits()
 	d, err := New[int](m)
 	if err != nil {
 		t.Fatal(err)
 	}
 	places := make([]Place[int], m.Places)
 	for i := range places {
-		d.Enter(&places[i], 0)
-		d.Work(&places[i], i < m.Floor+1)
+		d.Admit(&places[i], 0)
+		d.MarkBusy(&places[i], i < m.Floor+1)
 	}
 	for i := range m.Floor + 1 {
-		d.Rest(&places[i], 0)
+		d.MarkIdle(&places[i], 0)
 	}
 	for step := range 3 {
 		var named []*Place[int]
@@ -442,60 +442,60 @@
 			t.Fatal("one of the floor is closed")
 		}
 		for _, p := range named {
-			d.Leave(p)
-			d.Enter(p, time.Hour)
-			d.Work(p, false)
+			d.Release(p)
+			d.Admit(p, time.Hour)
+			d.MarkBusy(p, false)
 		}
 	}
 }
 
 // The process got fewer descriptors than it was told of.
 func TestShrinkKeepsToWhatThereIs(t *testing.T) {
-	d, err := New[int](marks())
+	d, err := New[int](limits())
 	if err != nil {
 		t.Fatal(err)
 	}
 	first := &Place[int]{}
-	d.Enter(first, 0)
+	d.Admit(first, 0)
 	for range 4 {
-		d.Enter(&Place[int]{}, 0)
+		d.Admit(&Place[int]{}, 0)
 	}
 	d.Shrink()
 	d.Shrink() // told again before any has gone: it counts once
-	if d.Room() || d.marks.Places != 4 {
-		t.Errorf("room %v, %d places with 5 open and no descriptor left", d.Room(), d.marks.Places)
+	if d.HasRoom() || d.limits.Places != 4 {
+		t.Errorf("room %v, %d places with 5 open and no descriptor left", d.HasRoom(), d.limits.Places)
 	}
-	d.Leave(first)
-	if d.Room() {
+	d.Release(first)
+	if d.HasRoom() {
 		t.Error("the descriptor left to all else is taken")
 	}
-	d.Due(time.Second, true, func(p *Place[int]) bool { d.Leave(p); return false })
-	if !d.Room() {
+	d.Due(time.Second, true, func(p *Place[int]) bool { d.Release(p); return false })
+	if !d.HasRoom() {
 		t.Error("none is closed to keep to the places that there are")
 	}
 	for more := true; more; {
-		before := d.Figures().Places
+		before := d.Stats().Places
 		more = d.Grow()
-		if after := d.Figures().Places; after <= before || after > marks().Places {
+		if after := d.Stats().Places; after <= before || after > limits().Places {
 			t.Fatalf("%d places grow to %d", before, after)
 		}
 	}
-	if d.marks != marks() {
-		t.Errorf("grown back to %+v", d.marks)
+	if d.limits != limits() {
+		t.Errorf("grown back to %+v", d.limits)
 	}
-	if err := d.marks.Check(); err != nil {
+	if err := d.limits.Check(); err != nil {
 		t.Error(err)
 	}
 }
 
 func TestMarksAreChecked(t *testing.T) {
-	for field, change := range map[string]func(*Marks){
-		"places": func(m *Marks) { m.Places = 0 }, "spare": func(m *Marks) { m.Spare = 9 },
-		"floor": func(m *Marks) { m.Floor = 4 }, "low": func(m *Marks) { m.Low = 6 },
-		"useful": func(m *Marks) { m.Useful = 10 }, "rest": func(m *Marks) { m.RestLeast = 0 },
-		"silent": func(m *Marks) { m.SilentMost = 1 }, "batch": func(m *Marks) { m.Batch = 0 },
+	for field, change := range map[string]func(*Limits){
+		"places": func(m *Limits) { m.Places = 0 }, "spare": func(m *Limits) { m.Spare = 9 },
+		"floor": func(m *Limits) { m.Floor = 4 }, "low": func(m *Limits) { m.Low = 6 },
+		"useful": func(m *Limits) { m.Useful = 10 }, "rest": func(m *Limits) { m.IdleMin = 0 },
+		"silent": func(m *Limits) { m.SilentMax = 1 }, "batch": func(m *Limits) { m.Batch = 0 },
 	} {
-		m := marks()
+		m := limits()
 		change(&m)
 		if _, err := New[int](m); err == nil || !strings.Contains(err.Error(), field) {
 			t.Errorf("%s: error %v", field, err)
@@ -504,19 +504,19 @@
 }
 
 func BenchmarkDoorAtRest(b *testing.B) {
-	m := marks()
+	m := limits()
 	m.Places, m.Useful, m.High, m.Low, m.Floor = 1<<20, 1<<20, 1<<19, 1<<19, 0
 	d, _ := New[int](m)
 	places := make([]Place[int], 200_000)
 	for i := range places {
-		d.Enter(&places[i], 0)
-		d.Work(&places[i], true)
-		d.Rest(&places[i], 0)
+		d.Admit(&places[i], 0)
+		d.MarkBusy(&places[i], true)
+		d.MarkIdle(&places[i], 0)
 	}
 	for i := 0; b.Loop(); i++ {
 		p := &places[i%len(places)]
-		d.Work(p, true)
-		d.Rest(p, time.Duration(i))
+		d.MarkBusy(p, true)
+		d.MarkIdle(p, time.Duration(i))
 		d.Due(time.Duration(i), false, func(*Place[int]) bool { return false })
 	}
 }
@@ -533,19 +533,19 @@
 		var open []*Place[int]
 		for len(open) < 20 {
 			p := &Place[int]{}
-			d.Enter(p, 0)
+			d.Admit(p, 0)
 			open = append(open, p)
 		}
-		d.marks.Places = 19 // as a shrink before it left them
+		d.limits.Places = 19 // as a shrink before it left them
 		d.Shrink()
 		for _, p := range open {
-			d.Leave(p)
+			d.Release(p)
 		}
 	}
 	for range 2 {
 		short()
-		if before := d.marks.Places; !d.Grow() || d.marks.Places > before+2 {
-			t.Errorf("the first step takes %d places to %d", before, d.marks.Places)
+		if before := d.limits.Places; !d.Grow() || d.limits.Places > before+2 {
+			t.Errorf("the first step takes %d places to %d", before, d.limits.Places)
 		}
 		steps := 1
 		for d.Grow() {
--- a/cmd/wickarch/idle_test.go
+++ b/cmd/wickarch/idle_test.go
@@ -26,7 +26,7 @@
 const (
 	patience = 30 * time.Second
 	deadline = 10 * time.Second // of usual clients; generous, since no speed is judged
-	// prompt is the least time that the door gives a new connection to ask, by
+	// prompt is the least time that the admission controller gives a new connection to ask, by
 	// default. Held back for longer by a busy machine, a client is owed nothing.
 	prompt = 50 * time.Millisecond
 )
@@ -249,7 +249,7 @@
 	s.crowd(700, func(c *standin.Client) { s.asked(c) })()
 	var answered, other atomic.Int32
 	s.crowd(300, func(c *standin.Client) {
-		// Refused as pressed is an answer too: so many at once is not the door's matter.
+		// Refused as pressed is an answer too: so many at once is not admission's matter.
 		if got := s.asked(c); got == standin.Served || got == standin.Refused {
 			answered.Add(1)
 		} else {
@@ -292,7 +292,7 @@
 	judge()
 }
 
-// Clients keep connections and do not notice that the door has closed them
+// Clients keep connections and do not notice that the ingress has closed them
 // until they send: each asks once more on a new one, and payments run once.
 func TestRequestThatCrossesACloseIsServedOnce(t *testing.T) {
 	s := start(t, limits, "[door]\nplaces = 200\nuseful = 60\nhigh = 20\nlow = 4\nfloor = 2\nrest_most_ms = 20\nrest_least_ms = 1\n")
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -1,6 +1,6 @@
 // Package config reads the file of our own under deploy/: what this program can
 // do beyond what the platform's configuration tells. Without it all of that is
-// off, and the marks of the door follow from the platform's limits.
+// off, and the limits on connections follow from the platform's limits.
 package config
 
 import (
@@ -13,12 +13,12 @@
 
 // Own is the whole file. Parts that it leaves out are nil.
 type Own struct {
-	Door *Door `toml:"door"`
+	Admission *Admission `toml:"door"`
 }
 
-// Door sets marks of the door; see package admission. A mark that is left out
+// Admission sets limits on connections; see package admission. A limit that is left out
 // follows from the platform's limits. Counts are of connections.
-type Door struct {
+type Admission struct {
 	Places        *int `toml:"places"`
 	Spare         *int `toml:"spare"`
 	Useful        *int `toml:"useful"`
@@ -33,8 +33,8 @@
 	PauseMS       *int `toml:"pause_ms"`
 }
 
-// Apply puts the marks of the file in place of those that follow from the limits.
-func (d *Door) Apply(m admission.Marks) admission.Marks {
+// Apply puts the limits of the file in place of those that follow from the limits.
+func (d *Admission) Apply(m admission.Limits) admission.Limits {
 	if d == nil {
 		return m
 	}
@@ -57,10 +57,10 @@
 	count(&m.High, d.High)
 	count(&m.Low, d.Low)
 	count(&m.Floor, d.Floor)
-	span(&m.RestMost, d.RestMostMS)
-	span(&m.RestLeast, d.RestLeastMS)
-	span(&m.SilentMost, d.SilentMostMS)
-	span(&m.SilentLeast, d.SilentLeastMS)
+	span(&m.IdleMax, d.RestMostMS)
+	span(&m.IdleMin, d.RestLeastMS)
+	span(&m.SilentMax, d.SilentMostMS)
+	span(&m.SilentMin, d.SilentLeastMS)
 	count(&m.Batch, d.Batch)
 	span(&m.Pause, d.PauseMS)
 	return m
@@ -78,8 +78,8 @@
 	if file == nil {
 		return Own{}, faults
 	}
-	if own.Door != nil {
-		m := own.Door.Apply(admission.Defaults(sampleSockets, sampleSockets))
+	if own.Admission != nil {
+		m := own.Admission.Apply(admission.Defaults(sampleSockets, sampleSockets))
 		if err := m.Check(); err != nil {
 			name, _, _ := strings.Cut(err.Error(), ":")
 			file.Fault(file.First("door", name, "high", "low", "floor", "spare", "places"), "%v", err)
--- a/internal/config/own_test.go
+++ b/internal/config/own_test.go
@@ -16,11 +16,11 @@
 		t.Fatal(faults)
 	}
 	want := admission.Defaults(1000, 1000)
-	want.High, want.RestLeast = 900, 75*time.Millisecond
-	if got := own.Door.Apply(admission.Defaults(211, 128)); got != want {
+	want.High, want.IdleMin = 900, 75*time.Millisecond
+	if got := own.Admission.Apply(admission.Defaults(211, 128)); got != want {
 		t.Errorf("marks %+v, want %+v", got, want)
 	}
-	if got := (*Door)(nil).Apply(admission.Defaults(211, 128)); got != admission.Defaults(211, 128) {
+	if got := (*Admission)(nil).Apply(admission.Defaults(211, 128)); got != admission.Defaults(211, 128) {
 		t.Errorf("without a file: %+v", got)
 	}
 }
@@ -71,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if own.Door == nil || own.Door.Places == nil || own.Door.PauseMS == nil {
-		t.Error("keys of the door are missing")
+	if own.Admission == nil || own.Admission.Places == nil || own.Admission.PauseMS == nil {
+		t.Error("keys of [door] are missing")
 	}
 }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -227,7 +227,7 @@
 		}
 		c.read()
 	}
-	c.standing()
+	c.reportActivity()
 }
 
 // read reads once, and starts the commands that are whole.
@@ -445,7 +445,7 @@
 		c.pump() // what was not taken while so much was due
 		return
 	}
-	c.standing()
+	c.reportActivity()
 }
 
 // write writes b, and tells whether the client has taken all of it. What it
@@ -516,7 +516,7 @@
 	c.readBy, c.resume = 0, 0
 	c.endedAt = c.front.loop.Now()
 	c.endBy = c.endedAt + lingerTime
-	c.standing()
+	c.reportActivity()
 	c.arm()
 }
 
@@ -533,19 +533,19 @@
 	}
 }
 
-// standing tells the door whether anything is open on the connection; part of a
+// reportActivity tells the admission controller whether anything is open on the connection; part of a
 // command is.
-func (c *client) standing() {
+func (c *client) reportActivity() {
 	switch {
 	case c.net == nil:
 	case c.first != nil, len(c.unwritten) > 0, len(c.half) > 0, c.closing:
-		c.front.door.Work(&c.place, c.asked)
+		c.front.admission.MarkBusy(&c.place, c.asked)
 	default:
-		c.front.door.Rest(&c.place, c.front.loop.Now())
+		c.front.admission.MarkIdle(&c.place, c.front.loop.Now())
 	}
 }
 
-// dismiss closes the connection for the door, unless something has come on it
+// dismiss closes the connection for the admission controller, unless something has come on it
 // that was not read yet: the poller tells so many events a round, and a round may
 // be late, so the clock alone would put our delay down to the client. A command
 // that crosses the close counts as not read, and the client sends it elsewhere.
@@ -621,7 +621,7 @@
 		} else {
 			c.fail(errSilent)
 		}
-		c.standing()
+		c.reportActivity()
 	}
 	c.arm()
 }
@@ -636,7 +636,7 @@
 	c.net = nil
 	f.leave(c)
 	f.loop.Unset(&c.timer)
-	f.door.Leave(&c.place)
+	f.admission.Release(&c.place)
 	f.loop.gone(c.forsake())
 }
 
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -66,10 +66,12 @@
 
 func (l Limits) clients() int { return max(1, int(clientShare*float64(l.Sockets))) }
 
-// marks are the bounds of the door. Clients hold a third of the descriptors at
+// admissionLimits are the bounds on clients' connections. Clients hold a third of the descriptors at
 // most for requests, and find no connection beyond: past half of that, those at
 // rest go sooner the fewer places are left.
-func (l Limits) marks() admission.Marks { return admission.Defaults(l.clients(), l.Sockets/usefulPart) }
+func (l Limits) admissionLimits() admission.Limits {
+	return admission.Defaults(l.clients(), l.Sockets/usefulPart)
+}
 
 // admins bounds the connections to the second address, which the shares of
 // clients and backends leave room for.
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -86,19 +86,19 @@
 }
 
 // Connections that wait in the listener's queue are taken before it ends, also
-// where the door has no room: their requests would be reset with them.
+// where no place is free: their requests would be reset with them.
 func TestStopTakesTheConnectionsThatWait(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
-	places := r.server.front.door
+	places := r.server.front.admission
 	held := r.dial() // in the only place
 	held.send("PING")
 	held.want("+PONG")
 	r.eventually("the other connection to be gone", func(*loop) bool { return len(r.server.front.clients) == 1 })
 	var clients []*fakeClient
 	r.ask(func(l *loop) { // nothing is taken meanwhile
-		if places.Shrink(); places.Room() {
-			t.Error("the door has room")
+		if places.Shrink(); places.HasRoom() {
+			t.Error("there is a free place")
 		}
 		for range 5 {
 			c := r.dial()
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -24,22 +24,22 @@
 // front holds the listener and the clients' connections. Connections at rest
 // have no goroutine, no buffer and no timer.
 type front struct {
-	cfg     *Config
-	loop    *loop
-	ln      reactor.Listener // nil once no further connection is taken
-	door    *admission.Door[*client]
-	clients []*client // in no order
-	buf     []byte    // read into by every connection in turn
-	out     []byte    // written from by every connection in turn
-	parting []*client // at rest, and ended by their clients; closed in batches
-	again   []*client // have more to read than their turn allows
-	dirty   []*client // may have answers to write
-	stalled list.List // of *client: wait for their clients to read on, the longest first
-	held    int       // bytes of answers that these are due
+	cfg       *Config
+	loop      *loop
+	ln        reactor.Listener // nil once no further connection is taken
+	admission *admission.Controller[*client]
+	clients   []*client // in no order
+	buf       []byte    // read into by every connection in turn
+	out       []byte    // written from by every connection in turn
+	parting   []*client // at rest, and ended by their clients; closed in batches
+	again     []*client // have more to read than their turn allows
+	dirty     []*client // may have answers to write
+	stalled   list.List // of *client: wait for their clients to read on, the longest first
+	held      int       // bytes of answers that these are due
 
 	acceptable bool          // the listener may have more
 	retryAt    time.Duration // accept failed, or had its batch: not before then; 0 when not
-	growAt     time.Duration // the door gets a place back then; 0 when it has them all
+	growAt     time.Duration // a place is given back then; 0 when it has them all
 	partAt     time.Duration // the next batch of those parting comes no sooner
 	draining   bool
 	waits      bool          // another process of this ingress takes the clients still
@@ -48,15 +48,15 @@
 
 // newFront makes a front and opens its address.
 func newFront(cfg *Config, l *loop) (*front, error) {
-	marks := cfg.Own.Door.Apply(cfg.Limits.marks())
-	if marks.Places >= cfg.Limits.Sockets {
-		return nil, fmt.Errorf("door.places: %d, with %d descriptors in all", marks.Places, cfg.Limits.Sockets)
+	limits := cfg.Own.Admission.Apply(cfg.Limits.admissionLimits())
+	if limits.Places >= cfg.Limits.Sockets {
+		return nil, fmt.Errorf("door.places: %d, with %d descriptors in all", limits.Places, cfg.Limits.Sockets)
 	}
-	d, err := admission.New[*client](marks)
+	d, err := admission.New[*client](limits)
 	if err != nil {
 		return nil, err
 	}
-	f := &front{cfg: cfg, loop: l, door: d, buf: make([]byte, sharedBuffer), empty: make(chan struct{})}
+	f := &front{cfg: cfg, loop: l, admission: d, buf: make([]byte, sharedBuffer), empty: make(chan struct{})}
 	address := cfg.Listen
 	if cfg.Passed != "" {
 		address = cfg.Passed
@@ -93,7 +93,7 @@
 
 // Next tells when there is something to do though nothing happens.
 func (f *front) Next() (at time.Duration, any bool) {
-	if len(f.again) > 0 || len(f.dirty) > 0 || f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && f.door.Room() {
+	if len(f.again) > 0 || len(f.dirty) > 0 || f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && f.admission.HasRoom() {
 		return 0, true
 	}
 	earlier := func(t time.Duration, ok bool) {
@@ -101,7 +101,7 @@
 			at, any = t, true
 		}
 	}
-	earlier(f.door.Next(f.waiting()))
+	earlier(f.admission.NextDue(f.waiting()))
 	earlier(f.retryAt, f.retryAt > 0)
 	earlier(f.growAt, f.growAt > 0)
 	earlier(f.partAt, len(f.parting) > 0)
@@ -109,7 +109,9 @@
 }
 
 // waiting tells that a connection waits in the listener's queue and finds no room.
-func (f *front) waiting() bool { return f.acceptable && f.ln != nil && !f.waits && !f.door.Room() }
+func (f *front) waiting() bool {
+	return f.acceptable && f.ln != nil && !f.waits && !f.admission.HasRoom()
+}
 
 // acceptor is told of the listener.
 type acceptor front
@@ -124,7 +126,7 @@
 		// Told by the event and not by a read: while nothing is read, for all that
 		// is due or for a pause, the end lies behind bytes that nobody waits for
 		// any more, and what waits would be sent on though its client has left.
-		if c.place.Resting() {
+		if c.place.Idle() {
 			// When thousands end at once, the events of the busy few stand among
 			// theirs: to close each as it comes would hold those up.
 			f.part(c)
@@ -191,7 +193,7 @@
 	}
 }
 
-// tend takes new connections and closes those that the door names.
+// tend takes new connections and closes those that the admission controller selects.
 func (f *front) tend() {
 	now := f.loop.Now()
 	if f.retryAt > 0 && now >= f.retryAt {
@@ -199,20 +201,20 @@
 	}
 	if f.growAt > 0 && now >= f.growAt {
 		f.growAt = 0
-		if f.door.Grow() {
+		if f.admission.Grow() {
 			f.growAt = now + growAfter
 		}
 	}
 	f.closeParting(now)
 	f.accept(now)
-	f.door.Due(now, f.waiting(), func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
-	if f.acceptable && f.door.Room() {
+	f.admission.Due(now, f.waiting(), func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
+	if f.acceptable && f.admission.HasRoom() {
 		f.accept(now) // in the places that have become free
 	}
 }
 
 func (f *front) accept(now time.Duration) {
-	for n := 0; f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && f.door.Room(); n++ {
+	for n := 0; f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && f.admission.HasRoom(); n++ {
 		if n == acceptBatch {
 			f.retryAt = now + pacePause
 			return
@@ -229,12 +231,12 @@
 	}
 }
 
-// shrink takes note that descriptors have run out: the door keeps to what there
+// shrink takes note that descriptors have run out: the admission controller keeps to what there
 // is, and closes one at rest in place of what was wanted.
 func (f *front) shrink(now time.Duration) {
-	f.door.Shrink()
+	f.admission.Shrink()
 	f.retryAt, f.growAt = now+acceptRetry, now+growAfter
-	f.door.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
+	f.admission.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 }
 
 // add serves a new connection.
@@ -247,7 +249,7 @@
 		return
 	}
 	f.clients = append(f.clients, c)
-	f.door.Enter(&c.place, now)
+	f.admission.Admit(&c.place, now)
 	c.arm()
 }
 
@@ -271,13 +273,13 @@
 // drain makes each connection close as soon as it has nothing open.
 func (f *front) drain() {
 	f.draining = true
-	f.door.Drain()
+	f.admission.Drain()
 }
 
 // resume ends a drain. Connections that have been ended by then stay so.
 func (f *front) resume() {
 	f.draining = false
-	f.door.Resume()
+	f.admission.Resume()
 }
 
 // closeListener ends the taking of connections. Those that wait in its queue are
--- a/internal/simulate/client.go
+++ b/internal/simulate/client.go
@@ -232,7 +232,7 @@
 		since = l.opened
 	}
 	if at, yes := simnet.Accepted(l.conn); (!yes || at > t.sent+ms) && over(l.to.short, 0, now) {
-		return true // it waited for a descriptor, or for the door to trust in having one
+		return true // it waited for a descriptor, or for admission to count on having one
 	}
 	return simnet.Broken(l.conn) || over(l.to.down, l.opened, now) || over(l.cuts[l.to.node.IP+l.node.IP], since-time.Second, now)
 }
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -205,7 +205,7 @@
  "tiers_of_service":[{"name":"basic","quota_rate":20,"burst":20,"price":1},
   {"name":"district","quota_rate":10,"burst":10,"price":1.6,"hard_rate":%g,"hard_burst":%g,"tolerance":%g}],"weights":"nominal"}}`
 
-const fewSockets = 256 // with fewer the door's places may all be taken
+const fewSockets = 256 // with fewer all places may be taken
 
 const (
 	replacing                                   = time.Second
