--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -16,14 +16,14 @@
 	"syscall"
 )
 
-// Claim is one process's claim to take clients.
-type Claim struct {
+// Lock is the right to take clients, as one process holds it or waits for it.
+type Lock struct {
 	held, next *os.File
 }
 
-// Join makes a claim in a folder. It fails when the folder can't be written to.
-func Join(dir string) (*Claim, error) {
-	var c Claim
+// Open opens the lock in a folder. It fails when the folder can't be written to.
+func Open(dir string) (*Lock, error) {
+	var c Lock
 	for name, file := range map[string]**os.File{"wickarch.held": &c.held, "wickarch.next": &c.next} {
 		f, err := os.OpenFile(filepath.Join(dir, name), os.O_RDWR|os.O_CREATE, 0o600)
 		if err != nil {
@@ -35,31 +35,31 @@
 	return &c, nil
 }
 
-// Wait waits until this process may take clients. It blocks a thread.
-func (c *Claim) Wait() error {
-	if err := lock(c.next, syscall.LOCK_EX); err != nil {
+// Acquire waits until this process may take clients. It blocks a thread.
+func (c *Lock) Acquire() error {
+	if err := flock(c.next, syscall.LOCK_EX); err != nil {
 		return err
 	}
-	if err := lock(c.held, syscall.LOCK_EX); err != nil {
+	if err := flock(c.held, syscall.LOCK_EX); err != nil {
 		return err
 	}
-	return lock(c.next, syscall.LOCK_UN)
+	return flock(c.next, syscall.LOCK_UN)
 }
 
-// Awaited tells whether another process waits for this one to stop.
-func (c *Claim) Awaited() bool {
-	err := lock(c.next, syscall.LOCK_EX|syscall.LOCK_NB)
+// Contended reports whether another process waits for this one to stop.
+func (c *Lock) Contended() bool {
+	err := flock(c.next, syscall.LOCK_EX|syscall.LOCK_NB)
 	if err == nil {
-		_ = lock(c.next, syscall.LOCK_UN)
+		_ = flock(c.next, syscall.LOCK_UN)
 	}
 	return errors.Is(err, syscall.EWOULDBLOCK)
 }
 
 // Release lets the next process begin. The caller takes no client any more.
-func (c *Claim) Release() error { return lock(c.held, syscall.LOCK_UN) }
+func (c *Lock) Release() error { return flock(c.held, syscall.LOCK_UN) }
 
-// Close gives up all that the claim holds.
-func (c *Claim) Close() {
+// Close gives up the lock and its files.
+func (c *Lock) Close() {
 	for _, f := range []*os.File{c.held, c.next} {
 		if f != nil {
 			_ = f.Close()
@@ -67,7 +67,7 @@
 	}
 }
 
-func lock(f *os.File, how int) error {
+func flock(f *os.File, how int) error {
 	for {
 		err := syscall.Flock(int(f.Fd()), how)
 		if !errors.Is(err, syscall.EINTR) {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -7,9 +7,9 @@
 
 const patience = 30 * time.Second
 
-func join(t *testing.T, dir string) *Claim {
+func join(t *testing.T, dir string) *Lock {
 	t.Helper()
-	c, err := Join(dir)
+	c, err := Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -17,10 +17,10 @@
 	return c
 }
 
-func wait(t *testing.T, c *Claim) chan error {
+func wait(t *testing.T, c *Lock) chan error {
 	t.Helper()
 	got := make(chan error, 1)
-	go func() { got <- c.Wait() }()
+	go func() { got <- c.Acquire() }()
 	return got
 }
 
@@ -42,12 +42,12 @@
 	dir := t.TempDir()
 	first := join(t, dir)
 	has(t, wait(t, first))
-	if first.Awaited() {
+	if first.Contended() {
 		t.Error("awaited with nobody there")
 	}
 	second := join(t, dir)
 	second2 := wait(t, second)
-	for !first.Awaited() {
+	for !first.Contended() {
 		time.Sleep(time.Millisecond)
 	}
 	select {
@@ -63,13 +63,13 @@
 	third2 := wait(t, third)
 	second.Close() // it dies
 	has(t, third2)
-	if third.Awaited() {
+	if third.Contended() {
 		t.Error("awaited, though the one that had waited has begun")
 	}
 }
 
 func TestFolderThatIsNotThere(t *testing.T) {
-	if _, err := Join(t.TempDir() + "/none"); err == nil {
+	if _, err := Open(t.TempDir() + "/none"); err == nil {
 		t.Fatal("no error")
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -135,10 +135,10 @@
 // Server is one running ingress, on sockets.
 type Server struct {
 	*Ingress
-	addr  string
-	world *reactor.Sockets
-	claim *handover.Claim // to take clients; nil where no other process of this ingress can be
-	late  func()          // waits while clients still come after the stop
+	addr     string
+	world    *reactor.Sockets
+	handover *handover.Lock // to take clients; nil where no other process of this ingress can be
+	late     func()         // waits while clients still come after the stop
 
 	sources *sources
 	moves   chan string // addresses of discovery to move to
@@ -156,16 +156,16 @@
 		world.Close()
 		return nil, err
 	}
-	var claim *handover.Claim
+	var lock *handover.Lock
 	if cfg.Shared != "" {
 		// Without it, both processes take clients for a moment.
-		if claim, err = handover.Join(cfg.Shared); err != nil {
+		if lock, err = handover.Open(cfg.Shared); err != nil {
 			slog.Warn("clients are taken beside the process before", "error", err)
 		} else {
 			i.Hold()
 		}
 	}
-	return &Server{Ingress: i, claim: claim, addr: i.Addr(), world: world,
+	return &Server{Ingress: i, handover: lock, addr: i.Addr(), world: world,
 		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
 		sources: newSources(i.tell)}, nil
 }
@@ -195,10 +195,10 @@
 		go run(ctx)
 	}
 	defer s.world.Close()
-	if s.claim != nil {
-		defer s.claim.Close()
+	if s.handover != nil {
+		defer s.handover.Close()
 		go func() {
-			if err := s.claim.Wait(); err != nil {
+			if err := s.handover.Acquire(); err != nil {
 				slog.Warn("clients are taken beside the process before", "error", err)
 			}
 			s.loop.Post(s.Begin)
@@ -231,12 +231,12 @@
 		longest = max(longest, c.Deadline)
 	}
 	s.loop.Do(s.Drain)
-	if s.claim == nil || !s.claim.Awaited() {
+	if s.handover == nil || !s.handover.Contended() {
 		s.late()
 	}
 	s.loop.Do(s.CloseListener)
-	if s.claim != nil {
-		_ = s.claim.Release() // Close, deferred above, gives it up at the latest
+	if s.handover != nil {
+		_ = s.handover.Release() // Close, deferred above, gives it up at the latest
 	}
 	select {
 	case <-empty:
