Rename rollout.Told to RemoteError and Tell to ToRemoteError

Its JSON and the kinds of the errors that it carries stay. Tests of rollout, follower, coordinator and fleetsim pass.

--- a/cmd/wickarch-fleet/main.go
+++ b/cmd/wickarch-fleet/main.go
@@ -205,8 +205,8 @@
 	last := ""
 	for {
 		s, err := f.status()
-		var told *rollout.Told
-		if err != nil && !(errors.As(err, &told) && told.Kind == "NotLeader") && c.For == 0 {
+		var remote *rollout.RemoteError
+		if err != nil && !(errors.As(err, &remote) && remote.Kind == "NotLeader") && c.For == 0 {
 			return err
 		}
 		i := slices.IndexFunc(s.Rollouts, func(r rollout.Progress) bool { return r.ID == c.ID })
@@ -423,7 +423,7 @@
 	if errors.As(err, &s) {
 		return int(s)
 	}
-	t := rollout.Tell(err)
+	t := rollout.ToRemoteError(err)
 	if f.JSON {
 		_ = f.print(map[string]any{"error": t}) // plain strings: always made
 	} else {
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -368,7 +368,7 @@
 func (s *Server) answer(w http.ResponseWriter, out any, err error) {
 	code := http.StatusOK
 	if err != nil {
-		f := rolloutlink.Failure{Error: rollout.Tell(err)}
+		f := rolloutlink.Failure{Error: rollout.ToRemoteError(err)}
 		switch f.Error.Kind {
 		case "NotLeader":
 			code = http.StatusMisdirectedRequest
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -142,9 +142,9 @@
 }
 
 func (f *Follower) failed(ask distribution.Ask, leader string, err error) {
-	var told *rollout.Told
-	if errors.As(err, &told) && told.Kind != "NotLeader" {
-		f.tell("a coordinator does not answer the question", told)
+	var remote *rollout.RemoteError
+	if errors.As(err, &remote) && remote.Kind != "NotLeader" {
+		f.tell("a coordinator does not answer the question", remote)
 	}
 	f.decides.Failed(f.now(), ask.Poll.Number, slices.Index(f.cfg.Coordinators, leader))
 }
--- a/internal/rolloutlink/link.go
+++ b/internal/rolloutlink/link.go
@@ -73,8 +73,8 @@
 
 // Failure is the body of an answer that is none.
 type Failure struct {
-	Error  *rollout.Told `json:"error"`
-	Leader string        `json:"leader,omitempty"` // its address, where another coordinator leads
+	Error  *rollout.RemoteError `json:"error"`
+	Leader string               `json:"leader,omitempty"` // its address, where another coordinator leads
 }
 
 // Unreachable tells that no coordinator could be reached.
@@ -99,7 +99,7 @@
 	}}
 }
 
-// Call makes one call to a coordinator. The error is *rollout.Told for what the
+// Call makes one call to a coordinator. The error is *rollout.RemoteError for what the
 // coordinator refused, with the leader's address beside it where that is another,
 // or *Unreachable.
 func Call(ctx context.Context, c *http.Client, method, address, path string, in, out any, most int64) (leader string, err error) {
@@ -156,8 +156,8 @@
 		}
 		leader, err := Call(try, c, method, at, path, in, out, most)
 		cancel()
-		var told *rollout.Told
-		if err == nil || errors.As(err, &told) && told.Kind != "NotLeader" && told.Kind != "Undecided" && told.Kind != "NoMajority" {
+		var remote *rollout.RemoteError
+		if err == nil || errors.As(err, &remote) && remote.Kind != "NotLeader" && remote.Kind != "Undecided" && remote.Kind != "NoMajority" {
 			return err
 		}
 		if ctx.Err() == nil || last == nil {
--- a/rollout/errors.go
+++ b/rollout/errors.go
@@ -13,34 +13,34 @@
 	Remedy() string
 }
 
-// Told is an error as it crosses a link or stands in the log.
-type Told struct {
+// RemoteError is an error in the form that crosses a link or stands in the log.
+type RemoteError struct {
 	Kind   string `json:"kind"` // the type's name
 	Text   string `json:"text"`
 	Advice string `json:"remedy"`
 }
 
-// Tell makes of an error what can cross a link; nil of none.
-func Tell(err error) *Told {
+// ToRemoteError converts an error to the form that can cross a link; nil stays nil.
+func ToRemoteError(err error) *RemoteError {
 	if err == nil {
 		return nil
 	}
-	var told *Told
-	if errors.As(err, &told) {
-		return told
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return remote
 	}
 	var f Fault
 	if errors.As(err, &f) {
 		kind := fmt.Sprintf("%T", f)
-		return &Told{kind[strings.LastIndexByte(kind, '.')+1:], err.Error(), f.Remedy()}
+		return &RemoteError{kind[strings.LastIndexByte(kind, '.')+1:], err.Error(), f.Remedy()}
 	}
-	return &Told{"Error", err.Error(), "read the coordinators' log"}
+	return &RemoteError{"Error", err.Error(), "read the coordinators' log"}
 }
 
-func (e *Told) Error() string { return e.Text }
+func (e *RemoteError) Error() string { return e.Text }
 
 // Remedy says what an operator can do.
-func (e *Told) Remedy() string { return e.Advice }
+func (e *RemoteError) Remedy() string { return e.Advice }
 
 // Undecided tells that it can't be told whether an order has been taken.
 type Undecided struct{ Why string }
--- a/rollout/faults_test.go
+++ b/rollout/faults_test.go
@@ -47,16 +47,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listed := map[string]bool{"Told": true} // one that has crossed a link: it carries the other's words
+	listed := map[string]bool{"RemoteError": true} // one that has crossed a link: it carries the other's words
 	for _, list := range faults {
 		for _, f := range list {
-			told := rollout.Tell(f)
-			listed[told.Kind] = true
-			if told.Text == "" || len(told.Advice) < 10 {
-				t.Errorf("%s: %q, %q", told.Kind, told.Text, told.Advice)
+			remote := rollout.ToRemoteError(f)
+			listed[remote.Kind] = true
+			if remote.Text == "" || len(remote.Advice) < 10 {
+				t.Errorf("%s: %q, %q", remote.Kind, remote.Text, remote.Advice)
 			}
-			if !strings.Contains(string(page), "`"+told.Kind+"`") {
-				t.Errorf("%s is not in the operators' page", told.Kind)
+			if !strings.Contains(string(page), "`"+remote.Kind+"`") {
+				t.Errorf("%s is not in the operators' page", remote.Kind)
 			}
 		}
 	}
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -156,8 +156,8 @@
 
 // Request is an operator's order that has been applied, and what came of it.
 type Request struct {
-	ID  string `json:"id"`
-	Err *Told  `json:"err,omitempty"`
+	ID  string       `json:"id"`
+	Err *RemoteError `json:"err,omitempty"`
 }
 
 // NewState is the state of an empty log.
@@ -241,7 +241,7 @@
 
 // HaltFor makes the entry that halts a rollout for a fault.
 func HaltFor(rollout string, f Fault) *HaltOf {
-	t := Tell(f)
+	t := ToRemoteError(f)
 	return &HaltOf{rollout, t.Kind, t.Text, t.Advice}
 }
 
@@ -315,7 +315,7 @@
 		}
 	}
 	err := s.apply(index, e)
-	s.Requests = append(s.Requests, Request{e.Request, Tell(err)})
+	s.Requests = append(s.Requests, Request{e.Request, ToRemoteError(err)})
 	if len(s.Requests) > mostRequests {
 		s.Requests = slices.Delete(s.Requests, 0, len(s.Requests)-mostRequests)
 	}
