--- a/distribution/cases_test.go
+++ b/distribution/cases_test.go
@@ -300,7 +300,7 @@
 		if as[*StateDamaged](err) != c.damaged || f.InUse().Version != c.version {
 			t.Errorf("%s: %v, version %d", c.name, err, f.InUse().Version)
 		}
-		p.seats = map[string]*seat{}
+		p.followers = map[string]*followerState{}
 		r, err := exchange(t, f, p, 0)
 		got := "nothing"
 		if r.State != nil {
@@ -507,7 +507,7 @@
 			continue
 		}
 		if now >= due {
-			r := p.next(p.seats["a"])
+			r := p.next(p.followers["a"])
 			if err := give(f, now, q.Number, r); err != nil {
 				t.Fatal(err)
 			}
--- a/distribution/publisher.go
+++ b/distribution/publisher.go
@@ -84,8 +84,8 @@
 	Reply    Reply
 }
 
-// seat is what a publisher knows of one follower, since it publishes.
-type seat struct {
+// followerState is what a publisher knows of one follower, since it publishes.
+type followerState struct {
 	poll     Poll
 	heard    time.Duration
 	held     bool
@@ -98,29 +98,29 @@
 // Publisher is what the coordinator that leads does. It lives for one term; who leads next
 // begins with a new one.
 type Publisher struct {
-	timing  Timing
-	catalog *Catalog
-	began   time.Duration // to hear followers; again after a pause
-	now     time.Duration
-	sure    time.Duration // a majority confirmed then that this one leads
-	looked  news          // what there was when Due looked last
-	seats   map[string]*seat
-	free    time.Duration // the row of large replies is worked off then
-	whole   *State        // of the version that is given out
-	steps   map[uint64]*Difference
-	stepsTo uint64 // the version that these lead to
-	befores map[[2]uint64][]Old
-	asked   uint64        // the version whose settling is on its way into the log
-	askedAt time.Duration // when that was asked
-	halting uint64        // the version whose halt is
-	haltAt  time.Duration
-	joinAt  time.Duration // when followers were last taken into the log
+	timing    Timing
+	catalog   *Catalog
+	began     time.Duration // to hear followers; again after a pause
+	now       time.Duration
+	sure      time.Duration // a majority confirmed then that this one leads
+	looked    news          // what there was when Due looked last
+	followers map[string]*followerState
+	free      time.Duration // the row of large replies is worked off then
+	whole     *State        // of the version that is given out
+	steps     map[uint64]*Difference
+	stepsTo   uint64 // the version that these lead to
+	befores   map[[2]uint64][]Old
+	asked     uint64        // the version whose settling is on its way into the log
+	askedAt   time.Duration // when that was asked
+	halting   uint64        // the version whose halt is
+	haltAt    time.Duration
+	joinAt    time.Duration // when followers were last taken into the log
 }
 
 // NewPublisher begins to publish what a catalog holds, which the caller goes on applying
 // entries to.
 func NewPublisher(timing Timing, catalog *Catalog, now time.Duration) *Publisher {
-	return &Publisher{timing: timing, catalog: catalog, began: now, now: now, sure: now, seats: map[string]*seat{}, joinAt: now - again,
+	return &Publisher{timing: timing, catalog: catalog, began: now, now: now, sure: now, followers: map[string]*followerState{}, joinAt: now - again,
 		befores: map[[2]uint64][]Old{}}
 }
 
@@ -169,13 +169,13 @@
 	if q.Follower == "" || len(q.Follower) > mostFollowName || len(q.Region) > mostFollowName || q.Number == 0 {
 		return reply, false, &BadPoll{"a follower has a name and a region of 1 to 64 characters, and counts its questions from 1"}
 	}
-	s := p.seats[q.Follower]
+	s := p.followers[q.Follower]
 	if s == nil {
-		if _, known := p.catalog.Followers[q.Follower]; !known && max(len(p.seats), len(p.catalog.Followers)) >= MostFollowers {
+		if _, known := p.catalog.Followers[q.Follower]; !known && max(len(p.followers), len(p.catalog.Followers)) >= MostFollowers {
 			return reply, false, &TooMany{MostFollowers}
 		}
-		s = &seat{}
-		p.seats[q.Follower] = s
+		s = &followerState{}
+		p.followers[q.Follower] = s
 	}
 	// Repeated, or come late: it tells of what was before. A clock that was set back makes a
 	// later life's number the lower one; it is taken once nobody else is heard under the name.
@@ -198,7 +198,7 @@
 }
 
 // next is what a follower lacks.
-func (p *Publisher) next(s *seat) Reply {
+func (p *Publisher) next(s *followerState) Reply {
 	c, q, target := p.catalog, &s.poll, p.target()
 	reply := Reply{Newest: c.Version}
 	have, known := c.hashAt(q.Version)
@@ -298,7 +298,7 @@
 
 // pace gives a large reply its place in the row, and tells how long its follower has to
 // wait for it; 0 for now. The row is worked off at Timing.Rate, after a burst.
-func (p *Publisher) pace(s *seat, size int) time.Duration {
+func (p *Publisher) pace(s *followerState, size int) time.Duration {
 	if size < large {
 		return 0
 	}
@@ -324,7 +324,7 @@
 	p.setTime(now)
 	looked := p.news()
 	var names []string
-	for name, s := range p.seats {
+	for name, s := range p.followers {
 		if s.held && (looked != p.looked || p.now >= s.until) {
 			names = append(names, name)
 		}
@@ -332,7 +332,7 @@
 	p.looked = looked
 	slices.Sort(names)
 	for _, name := range names {
-		s := p.seats[name]
+		s := p.followers[name]
 		if reply := p.next(s); !reply.empty() || p.now >= s.until {
 			s.held = false
 			answers = append(answers, Answer{name, s.poll.Number, reply})
@@ -343,7 +343,7 @@
 
 // Next tells when Due has an answer though nothing happens; false for never.
 func (p *Publisher) Next() (at time.Duration, any bool) {
-	for _, s := range p.seats {
+	for _, s := range p.followers {
 		if s.held && (!any || s.until < at) {
 			at, any = s.until, true
 		}
@@ -352,7 +352,7 @@
 }
 
 // live tells whether a follower's lease is on.
-func (p *Publisher) live(s *seat) bool {
+func (p *Publisher) live(s *followerState) bool {
 	return s != nil && p.now-s.heard < p.timing.Lease
 }
 
@@ -363,7 +363,7 @@
 	c := p.catalog
 	if p.now-p.joinAt >= again {
 		joined := map[string]string{}
-		for name, s := range p.seats {
+		for name, s := range p.followers {
 			if region, known := c.Followers[name]; p.live(s) && (!known || region != s.poll.Region) && len(c.Followers)+len(joined) < MostFollowers {
 				joined[name] = s.poll.Region
 			}
@@ -372,14 +372,14 @@
 			p.joinAt = p.now
 			entries = append(entries, Entry{Join: &Join{joined}})
 		}
-		maps.DeleteFunc(p.seats, func(name string, s *seat) bool {
+		maps.DeleteFunc(p.followers, func(name string, s *followerState) bool {
 			_, known := c.Followers[name]
 			return !known && !p.live(s) // forgotten
 		})
 	}
 	if c.Halt == nil && c.Version > 0 && (p.halting != c.Version || p.now-p.haltAt >= again) {
-		for _, name := range slices.Sorted(maps.Keys(p.seats)) {
-			if r := p.seats[name].poll.Refused; p.live(p.seats[name]) && r != nil && r.Version == c.Version {
+		for _, name := range slices.Sorted(maps.Keys(p.followers)) {
+			if r := p.followers[name].poll.Refused; p.live(p.followers[name]) && r != nil && r.Version == c.Version {
 				p.halting, p.haltAt = c.Version, p.now
 				entries = append(entries, Entry{Halt: &Halted{c.Version, name, r.Refused}})
 				break
@@ -400,12 +400,12 @@
 	c, least := p.catalog, p.target()
 	if p.now-p.began < p.timing.Lease {
 		for name := range c.Followers {
-			if s := p.seats[name]; s == nil || s.heard < p.began {
+			if s := p.followers[name]; s == nil || s.heard < p.began {
 				return 0
 			}
 		}
 	}
-	for _, s := range p.seats {
+	for _, s := range p.followers {
 		if !p.live(s) {
 			continue
 		}
@@ -459,11 +459,11 @@
 	c := p.catalog
 	st := Status{Version: c.Version, Hash: c.Hash, By: c.By, Resources: len(c.Resources), Bytes: c.Set().Size(), Oldest: c.Oldest(), Settled: c.Settled, Halt: c.Halt}
 	names := maps.Clone(c.Followers)
-	for name, s := range p.seats {
+	for name, s := range p.followers {
 		names[name] = s.poll.Region
 	}
 	for name, region := range names {
-		s := p.seats[name]
+		s := p.followers[name]
 		f := FollowerStatus{Name: name, Region: region, Standing: NeverHeard}
 		if s != nil {
 			f.Version, f.Heard, f.Why = s.poll.Version, p.now-s.heard, s.poll.Disk
@@ -490,7 +490,7 @@
 
 // Heard tells how long ago a follower asked; false if it did not since this publisher began.
 func (p *Publisher) Heard(now time.Duration, follower string) (ago time.Duration, ever bool) {
-	s := p.seats[follower]
+	s := p.followers[follower]
 	if s == nil {
 		return 0, false
 	}
