Rename what the ingress and its connections to backends called by metaphor

stray, breach, deaf, tend and poured are closeUnsolicited, countViolation, inputClosed, admitAndClose and streamEnded. Tests of internal/upstream and internal/ingress pass.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -87,5 +87,5 @@
 // ended notes how the answer's body ended.
 func (s *slot) ended(whole bool) {
 	s.body = nil
-	s.client.front.loop.poured(s.request, whole)
+	s.client.front.loop.streamEnded(s.request, whole)
 }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -137,16 +137,16 @@
 
 	stall *list.Element // its place among those that do not read
 
-	asked    bool // has sent a request that could be taken
-	timed    bool // readBy runs, for this command or the one before
-	readable bool // the socket may have more
-	heldUp   bool // what can be read has waited for us
-	behind   bool // half may hold whole commands: they came while none was taken
-	parting  bool // is in front.parting: its client has ended it
-	queued   bool // is in front.again
-	soiled   bool // is in front.dirty
-	closing  bool // takes no further command, and ends when all is answered
-	deaf     bool // reads nothing more: what has been read is all that it takes
+	asked       bool // has sent a request that could be taken
+	timed       bool // readBy runs, for this command or the one before
+	readable    bool // the socket may have more
+	heldUp      bool // what can be read has waited for us
+	behind      bool // half may hold whole commands: they came while none was taken
+	parting     bool // is in front.parting: its client has ended it
+	queued      bool // is in front.again
+	soiled      bool // is in front.dirty
+	closing     bool // takes no further command, and ends when all is answered
+	inputClosed bool // reads nothing more: what has been read is all that it takes
 }
 
 // soil notes that there may be something to write.
@@ -218,7 +218,7 @@
 				break
 			}
 		}
-		if !c.readable || c.deaf {
+		if !c.readable || c.inputClosed {
 			break
 		}
 		if turn == readBatch {
@@ -528,7 +528,7 @@
 	}
 	c.speaks()
 	c.pump()
-	if c.deaf = true; c.net != nil && !c.closing && !c.behind {
+	if c.inputClosed = true; c.net != nil && !c.closing && !c.behind {
 		c.end()
 	}
 }
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -83,7 +83,7 @@
 		f.loop.starved = false
 		f.shrink(f.loop.Now())
 	}
-	f.tend()
+	f.admitAndClose()
 	f.flush()
 	if f.ln == nil && len(f.clients) == 0 && f.empty != nil {
 		close(f.empty)
@@ -193,8 +193,8 @@
 	}
 }
 
-// tend takes new connections and closes those that the admission controller selects.
-func (f *front) tend() {
+// admitAndClose takes new connections and closes those that the admission controller selects.
+func (f *front) admitAndClose() {
 	now := f.loop.Now()
 	if f.retryAt > 0 && now >= f.retryAt {
 		f.retryAt = 0
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -258,9 +258,9 @@
 	}
 }
 
-// poured notes the end of a large value's way to its client. One that did not get
+// streamEnded notes the end of a large value's way to its client. One that did not get
 // all of it has no answer.
-func (l *loop) poured(r *request, whole bool) {
+func (l *loop) streamEnded(r *request, whole bool) {
 	l.figures.open--
 	if whole {
 		l.figures.classes[r.class].Success++
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -90,7 +90,7 @@
 	// would be lost. Where rests have been empty, what can be repeated goes
 	// without the look.
 	if (c.history == nil || !a.Repeatable) && c.net.Pending() {
-		c.stray()
+		c.closeUnsolicited()
 		return false
 	}
 	c.attempt, a.conn = a, c
@@ -168,7 +168,7 @@
 		}
 	case idle:
 		if e&(reactor.Readable|reactor.Ended|reactor.Gone) != 0 {
-			c.stray()
+			c.closeUnsolicited()
 		}
 	}
 }
@@ -186,12 +186,12 @@
 	}
 }
 
-// stray closes a connection on which something came, or that ended, while it
+// closeUnsolicited closes a connection on which something came, or that ended, while it
 // carried nothing.
-func (c *conn) stray() {
+func (c *conn) closeUnsolicited() {
 	var one [1]byte
 	if n, _ := c.net.Read(one[:]); n > 0 {
-		c.pool.breach()
+		c.pool.countViolation()
 	}
 	c.close()
 }
@@ -225,12 +225,12 @@
 		reply, used, err := c.pool.nextReply(got)
 		switch {
 		case err != nil: // the backend lives and has run it
-			c.pool.breach()
+			c.pool.countViolation()
 			c.fail(choice.Error)
 			return
 		case used > 0 && reply.large > 0:
 			if c.attempt.Probe {
-				c.pool.breach()
+				c.pool.countViolation()
 				c.fail(choice.Error)
 				return
 			}
@@ -239,7 +239,7 @@
 		case used > 0 && reply.Status == choice.Refused && !repeats(got[used:], got[:used]):
 			// Half a line that came between requests, and the answer to this one
 			// behind it in the same line: it may have run.
-			c.pool.breach()
+			c.pool.countViolation()
 			c.fail(choice.Error)
 			return
 		case used > 0:
@@ -273,10 +273,10 @@
 	p, a := c.pool, c.attempt
 	now := p.loop.Now()
 	if more {
-		p.breach()
+		p.countViolation()
 	}
 	if r.Status == choice.OK && a.Probe != (r.Value == nil) { // the answer to something else
-		p.breach()
+		p.countViolation()
 		c.fail(choice.Error)
 		return
 	}
@@ -291,7 +291,7 @@
 			// As of when the request was written: a process that stood still reads
 			// late what came in time.
 			if c.history.has(c.last, a.started) { // once more: whose it is nobody can tell
-				p.breach()
+				p.countViolation()
 				c.fail(choice.Error)
 				return
 			}
--- a/internal/upstream/trust.go
+++ b/internal/upstream/trust.go
@@ -32,10 +32,10 @@
 
 // proof is what one backend has shown.
 type proof struct {
-	clean    int    // rests in a row that nothing came in
-	breaches uint64 // of the pool, as of when the count began
-	seen     [historySize]uint64
-	next     int
+	clean      int    // rests in a row that nothing came in
+	violations uint64 // of the pool, as of when the count began
+	seen       [historySize]uint64
+	next       int
 }
 
 // history is what one connection has carried of late.
@@ -73,18 +73,18 @@
 // other figures.
 func markOf(r Reply) uint64 { return maphash.Bytes(seed, r.Value) }
 
-// breach notes that something came that nobody asked for.
-func (p *Pool) breach() { p.breaches++ }
+// countViolation notes that something came that nobody asked for.
+func (p *Pool) countViolation() { p.violations++ }
 
 // trusted tells whether connections of the backend need no rest.
 func (p *Pool) trusted(b *backend) bool {
-	return b.proof.clean >= p.cfg.Proof && b.proof.breaches == p.breaches
+	return b.proof.clean >= p.cfg.Proof && b.proof.violations == p.violations
 }
 
 // rested notes a rest of full length that nothing came in.
 func (p *Pool) rested(b *backend) {
-	if b.proof.breaches != p.breaches {
-		b.proof.clean, b.proof.breaches = 0, p.breaches
+	if b.proof.violations != p.violations {
+		b.proof.clean, b.proof.violations = 0, p.violations
 	}
 	b.proof.clean = min(b.proof.clean+1, p.cfg.Proof)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -89,21 +89,21 @@
 
 // Pool holds the backends and the connections to them.
 type Pool struct {
-	cfg      Config
-	loop     *reactor.Loop
-	sink     Sink
-	byName   map[string]*backend
-	byID     map[uint32]*backend
-	byAddr   map[string][]*backend // of those in byName
-	lastID   uint32
-	stale    float64 // share of kept connections that were reset at their next request
-	open     int     // connections, those coming up among them
-	breaches uint64  // bytes that came though nobody asked for them
-	up       []*conn // have come up in this round, and their attempts are not sent yet
-	ends     []end   // outcomes not told yet
-	told     []end
-	out      []byte // written from by every connection in turn
-	in       []byte // read into by every connection in turn
+	cfg        Config
+	loop       *reactor.Loop
+	sink       Sink
+	byName     map[string]*backend
+	byID       map[uint32]*backend
+	byAddr     map[string][]*backend // of those in byName
+	lastID     uint32
+	stale      float64 // share of kept connections that were reset at their next request
+	open       int     // connections, those coming up among them
+	violations uint64  // bytes that came though nobody asked for them
+	up         []*conn // have come up in this round, and their attempts are not sent yet
+	ends       []end   // outcomes not told yet
+	told       []end
+	out        []byte // written from by every connection in turn
+	in         []byte // read into by every connection in turn
 }
 
 type end struct {
