Check the errors that tests left unlooked at

Where a failure would leave a test with nothing to show (a signal that is not sent, a disk that is not closed, a reply that the follower does not take, half a command that is not written) the test now fails; the others are discarded by name: writes of fakes to peers that may have gone, closes, options.

--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"math"
 	"os"
 	"os/exec"
 	"strings"
@@ -35,7 +36,7 @@
 	body := append(bytes.Join(events, nil), tail...)
 	f := make([]byte, 20)
 	le.PutUint32(f, uint32(16+len(body)))
-	binary.Encode(f[4:], le, float64(seq)*10)
+	le.PutUint64(f[4:], math.Float64bits(float64(seq)*10))
 	le.PutUint32(f[12:], uint32(len(events)))
 	le.PutUint32(f[16:], uint32(seq))
 	return append(f, body...)
@@ -158,7 +159,9 @@
 	ev := wire.Event{Code: wire.CodeTimer}
 	deliver(n, 0, &ev, nil) // no Gateway behind it: the call panics
 	var out bytes.Buffer
-	n.reply.Write(&out, 1)
+	if err := n.reply.Write(&out, 1); err != nil {
+		t.Error(err)
+	}
 	if codes, _ := replies(t, out.Bytes()); len(codes[0]) != 1 || codes[0][0] != 265 {
 		t.Errorf("actions %v, want one fault", codes)
 	}
--- a/cmd/tryout/main_test.go
+++ b/cmd/tryout/main_test.go
@@ -60,7 +60,9 @@
 		}
 		if !interrupted && strings.Contains(all.String(), "\n       1 ") {
 			interrupted = true // the first second's line: there is something to judge
-			cmd.Process.Signal(syscall.SIGINT)
+			if err := cmd.Process.Signal(syscall.SIGINT); err != nil {
+				t.Error(err)
+			}
 		}
 	}
 	if err := cmd.Wait(); err != nil || !strings.Contains(all.String(), "the figures hold") {
--- a/cmd/wickarch/descriptors_test.go
+++ b/cmd/wickarch/descriptors_test.go
@@ -62,7 +62,7 @@
 				if n%2 == 0 {
 					s.asked(c)
 				}
-				io.Copy(io.Discard, c.In)
+				_, _ = io.Copy(io.Discard, c.In)
 				free()
 				c.Close()
 			}
--- a/cmd/wickarch/idle_test.go
+++ b/cmd/wickarch/idle_test.go
@@ -218,7 +218,9 @@
 					if line, err := last.Line(); err != nil || line != "+PONG" {
 						t.Fatalf("a ping is answered %q, %v", line, err)
 					}
-					s.Cmd.Process.Signal(syscall.SIGSTOP)
+					if err := s.Cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+						t.Error(err)
+					}
 				}
 				if err := cl.Send(standin.Lookup(1, ids[i], int(deadline.Milliseconds()))...); err != nil {
 					t.Fatal(err)
@@ -226,7 +228,9 @@
 			}
 			sent := time.Since(began)
 			time.Sleep(c.stall) // the fault itself: a process that does not run
-			s.Cmd.Process.Signal(syscall.SIGCONT)
+			if err := s.Cmd.Process.Signal(syscall.SIGCONT); err != nil {
+				t.Error(err)
+			}
 			if sent > time.Second {
 				t.Skipf("sent within %v: the machine is too slow to judge", sent)
 			}
@@ -278,7 +282,7 @@
 		if err != nil {
 			return
 		}
-		io.Copy(io.Discard, c.In) // until the ingress ends it
+		_, _ = io.Copy(io.Discard, c.In) // until the ingress ends it
 		c.Close()
 		heads.Add(2)
 		go grow()
@@ -315,7 +319,9 @@
 	id := standin.NewID()
 	command := standin.Encode(standin.Lookup(1, id, int(deadline.Milliseconds()))...)
 	half, trickle := s.dial(), s.dial()
-	half.Write(command[:len(command)/2])
+	if _, err := half.Write(command[:len(command)/2]); err != nil {
+		t.Error(err)
+	}
 	start := time.Now()
 	ended := make(chan time.Duration, 1)
 	go func() {
@@ -324,16 +330,16 @@
 			if _, err := trickle.Write([]byte{b}); err != nil {
 				return
 			}
-			trickle.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			_ = trickle.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
 			if _, err := trickle.In.ReadByte(); err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
 		}
-		trickle.SetReadDeadline(time.Now().Add(patience))
-		trickle.In.ReadByte()
+		_ = trickle.SetReadDeadline(time.Now().Add(patience))
+		_, _ = trickle.In.ReadByte()
 	}()
 	s.crowd(300, func(c *standin.Client) { s.asked(c) })() // past all places, within the half one's time
-	half.Write(command[len(command)/2:])
+	_, _ = half.Write(command[len(command)/2:])            // it may be closed by then, on a late machine
 	if time.Since(start) < 2*time.Second {
 		if line, err := half.Line(); err != nil || !strings.HasSuffix(line, id) {
 			t.Errorf("the command in two halves is answered %q, %v", line, err)
@@ -349,14 +355,16 @@
 	s.Helper()
 	for end := time.Now().Add(patience); ; { // refused as pressed, it is asked again
 		id := "f" + standin.NewID()[1:]
-		c.Send(standin.Payment(hole, id, ms)...)
+		if err := c.Send(standin.Payment(hole, id, ms)...); err != nil {
+			s.Fatal(err)
+		}
 		for s.effects.Of(id) == 0 && c.In.Buffered() == 0 {
-			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
 			if _, err := c.In.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().After(end) {
 				s.Fatalf("a payment is not sent on: %v", err)
 			}
 		}
-		c.SetReadDeadline(time.Now().Add(patience))
+		_ = c.SetReadDeadline(time.Now().Add(patience))
 		if s.effects.Of(id) == 1 {
 			return
 		}
@@ -401,7 +409,9 @@
 	if _, err := s.node.Write(s.dir); err != nil {
 		t.Fatal(err)
 	}
-	s.Cmd.Process.Signal(syscall.SIGHUP)
+	if err := s.Cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Error(err)
+	}
 	select {
 	case <-second.Watched:
 	case <-time.After(patience):
@@ -417,7 +427,9 @@
 // not run at all for a moment.
 func TestListenerQueueOverflows(t *testing.T) {
 	s := start(t, limits, "")
-	s.Cmd.Process.Signal(syscall.SIGSTOP)
+	if err := s.Cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Error(err)
+	}
 	var tried sync.WaitGroup
 	for range 5000 {
 		tried.Add(1)
@@ -429,7 +441,9 @@
 		}()
 	}
 	tried.Wait()
-	s.Cmd.Process.Signal(syscall.SIGCONT)
+	if err := s.Cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Error(err)
+	}
 	s.load(100)()
 }
 
@@ -455,7 +469,7 @@
 	}
 	for n, c := range clients {
 		if n%2 == 0 {
-			c.Write([]byte("*4\r\n$5\r\nQ.AS")) // some have been closed by then
+			_, _ = c.Write([]byte("*4\r\n$5\r\nQ.AS")) // some have been closed by then
 		}
 	}
 	for range 3 {
@@ -538,7 +552,9 @@
 	judge := s.load(100)
 	var ended atomic.Int32
 	s.crowd(5, func(c *standin.Client) {
-		c.Conn.(*net.TCPConn).SetReadBuffer(4096)
+		if err := c.Conn.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+			t.Error(err)
+		}
 		// Nothing is ever read. Once the ingress has ended the connection a write fails.
 		for {
 			if err := c.Send(standin.Lookup(large, standin.NewID(), int(deadline.Milliseconds()))...); err != nil {
--- a/cmd/wickarch/main_test.go
+++ b/cmd/wickarch/main_test.go
@@ -51,7 +51,7 @@
 func agent(t *testing.T) (addr string, asked chan struct{}) {
 	asked = make(chan struct{}, 100)
 	s := standin.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintln(w, `{"revision":1,"complete":true,"members":[]}`)
+		_, _ = fmt.Fprintln(w, `{"revision":1,"complete":true,"members":[]}`)
 		if r.URL.Query().Get("stream") == "" {
 			asked <- struct{}{}
 		}
@@ -124,7 +124,7 @@
 		signal(syscall.SIGHUP)
 		wait("the move back", atFirst)
 	}
-	go io.Copy(io.Discard, log)
+	go func() { _, _ = io.Copy(io.Discard, log) }()
 	signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
--- a/cmd/wickarch/replace_test.go
+++ b/cmd/wickarch/replace_test.go
@@ -30,7 +30,9 @@
 			continue
 		}
 		if n%3 == 1 {
-			before.Cmd.Process.Signal(os.Interrupt) // the old one is told before the new one is there
+			if err := before.Cmd.Process.Signal(os.Interrupt); err != nil { // the old one is told before the new one is there
+				t.Error(err)
+			}
 		}
 		s.begin(nil, env...)
 		if err := before.Stop(patience); err != nil {
@@ -109,7 +111,7 @@
 	if err != nil {
 		s.Fatal(err)
 	}
-	s.Cleanup(func() { file.Close() })
+	s.Cleanup(func() { _ = file.Close() })
 	s.node.Listen, s.node.Files = held.Addr().String(), []*os.File{file}
 	return s.node.Listen
 }
--- a/cmd/wickarch/signals_test.go
+++ b/cmd/wickarch/signals_test.go
@@ -15,7 +15,9 @@
 	for range 5 {
 		s.begin(nil)
 		p := s.Process
-		p.Cmd.Process.Signal(os.Interrupt)
+		if err := p.Cmd.Process.Signal(os.Interrupt); err != nil {
+			t.Error(err)
+		}
 		go func() {
 			for p.Cmd.Process.Signal(syscall.SIGTERM) == nil { // it fails once the process has ended
 			}
--- a/cmd/wickarch/starts_test.go
+++ b/cmd/wickarch/starts_test.go
@@ -22,7 +22,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		fmt.Fprintf(w, "%s\n", list)
+		_, _ = fmt.Fprintf(w, "%s\n", list)
 		if r.URL.Query().Get("stream") != "" {
 			w.(http.Flusher).Flush()
 			<-r.Context().Done()
@@ -39,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { syscall.Close(fd) })
+	t.Cleanup(func() { _ = syscall.Close(fd) })
 	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
 		err = syscall.Listen(fd, 0)
 	}
@@ -127,7 +127,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for _, p := range nodes {
 				p.Cmd.Process.Kill()
-				p.Stop(patience) // its end is awaited, so that its address is free
+				_ = p.Stop(patience) // its end is awaited, so that its address is free
 			}
 			type ready struct {
 				took time.Duration
--- a/cmd/wickarch/stock_test.go
+++ b/cmd/wickarch/stock_test.go
@@ -16,7 +16,7 @@
 	s := start(t, limits, "")
 	c := redis.NewClient(&redis.Options{Addr: s.Addr, Protocol: 2, DisableIdentity: true, PoolSize: 4, MaxRetries: -1,
 		ReadTimeout: patience, DialTimeout: patience})
-	t.Cleanup(func() { c.Close() })
+	t.Cleanup(func() { _ = c.Close() })
 	words := func(w []string) (args []any) {
 		for _, x := range w {
 			args = append(args, x)
--- a/cmd/wickarch/stop_test.go
+++ b/cmd/wickarch/stop_test.go
@@ -64,7 +64,9 @@
 			time.Sleep(time.Millisecond)
 		}
 		told := time.Now()
-		p.Cmd.Process.Signal(os.Interrupt)
+		if err := p.Cmd.Process.Signal(os.Interrupt); err != nil {
+			t.Error(err)
+		}
 		go func() {
 			for errors.Is(p.Cmd.Process.Signal(syscall.SIGTERM), nil) { // to its end
 				time.Sleep(10 * time.Millisecond)
--- a/cmd/wickarch/trial_test.go
+++ b/cmd/wickarch/trial_test.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	if !slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
 		return errors.New("it names no interpreter")
 	}
@@ -141,7 +141,9 @@
 				t.Fatal(err)
 			}
 			judge := s.load(200)
-			s.Cmd.Process.Signal(syscall.SIGHUP)
+			if err := s.Cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Error(err)
+			}
 			if got := s.asked(s.dial()); got != standin.Served {
 				t.Errorf("a lookup ends as %v", got)
 			}
@@ -198,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	go io.Copy(io.Discard, b)
+	go func() { _, _ = io.Copy(io.Discard, b) }()
 	n, err := io.Copy(a, r)
 	if err == nil && n == 0 {
 		err = errors.New("nothing was copied")
--- a/distribution/cases_test.go
+++ b/distribution/cases_test.go
@@ -74,12 +74,20 @@
 		t.Fatal(err)
 	}
 	if held {
-		f.Replied(now, q.Number, Reply{})
+		_, _ = f.Replied(now, q.Number, Reply{})
 		return r, nil
 	}
 	return r, give(f, now, q.Number, r)
 }
 
+// mustExchange is exchange where the follower has to take the reply.
+func mustExchange(t *testing.T, f *Follower, p *Publisher, now time.Duration) {
+	t.Helper()
+	if _, err := exchange(t, f, p, now); err != nil {
+		t.Fatalf("at %v: %v", now, err)
+	}
+}
+
 func give(f *Follower, now time.Duration, number uint64, r Reply) error {
 	save, err := f.Replied(now, number, r)
 	if save != nil {
@@ -110,7 +118,7 @@
 	p := g.publisher(0, "a")
 	g.push(1)
 	f := g.follower("a", nil)
-	exchange(t, f, p, 0)
+	mustExchange(t, f, p, 0)
 	g.push(2)
 	q := ask(t, f, time.Second)
 	r2, _, _ := p.Poll(time.Second, q)
@@ -189,7 +197,7 @@
 		t.Fatalf("%v; version %d, settled %d, %v", err, f.InUse().Version, f.InUse().Settled, goldRate(t, f.InUse()))
 	}
 	g.push(300)
-	exchange(t, f, p, 2*time.Second)
+	mustExchange(t, f, p, 2*time.Second)
 	if _, err := exchange(t, f, before, 3*time.Second); err != nil || f.InUse().Version != 4 {
 		t.Fatalf("%v, version %d", err, f.InUse().Version)
 	}
@@ -264,7 +272,7 @@
 	for i, v := range []uint64{0, 1, 9} {
 		bad := at(4, uint64(i+1), 1)
 		bad.Refused = &Halted{Version: v}
-		poll(time.Minute+3*time.Second, bad)
+		_ = poll(time.Minute+3*time.Second, bad) // refused or not: no version is halted
 		for _, e := range p.Tick(time.Minute + 3*time.Second) {
 			if e.Halt != nil {
 				t.Errorf("version %d is halted", v)
@@ -556,18 +564,18 @@
 		return nil
 	}
 	for _, f := range []*Follower{begun, refuses, other} {
-		exchange(t, f, p, 0)
+		mustExchange(t, f, p, 0)
 	}
 	bad := planOf(t, "gold", 666)
 	bad.Line = 17
 	g.must(g.pushOf(bad))
-	exchange(t, begun, p, time.Second)
+	mustExchange(t, begun, p, time.Second)
 	var halted *Halted
 	if _, err := exchange(t, refuses, p, time.Second); !errors.As(err, &halted) || halted.Refused.Line != 17 || refuses.InUse().Version != 1 {
 		t.Fatal(err)
 	}
 	now := 1200 * time.Millisecond
-	exchange(t, refuses, p, now) // it tells so
+	mustExchange(t, refuses, p, now) // it tells so
 	for _, e := range p.Tick(now) {
 		if e.Settle > 0 {
 			t.Errorf("%d settles", e.Settle)
@@ -577,14 +585,14 @@
 	if g.c.Halt == nil || g.c.Halt.Refused.Line != 17 || g.c.Halt.Follower != "refuses" || !strings.Contains(g.c.Halt.Error(), "line 17") {
 		t.Fatalf("%+v", g.c.Halt)
 	}
-	exchange(t, other, p, now)
+	mustExchange(t, other, p, now)
 	empty := g.follower("empty", nil) // restarted with nothing
-	exchange(t, empty, p, now)
+	mustExchange(t, empty, p, now)
 	if begun.InUse().Version != 2 || other.InUse().Version != 1 || empty.InUse().Version != 1 {
 		t.Errorf("begun %d, other %d, empty %d", begun.InUse().Version, other.InUse().Version, empty.InUse().Version)
 	}
 	for _, f := range []*Follower{begun, refuses, other, empty} {
-		exchange(t, f, p, 1500*time.Millisecond)
+		mustExchange(t, f, p, 1500*time.Millisecond)
 	}
 	// While it is halted nothing of it settles, however it is asked for.
 	g.must(Entry{Settle: 2})
@@ -642,7 +650,7 @@
 		}
 	}
 	f := g.follower("a", nil)
-	if exchange(t, f, p, 0); f.InUse().Version != 1 || g.c.Verify() != nil {
+	if mustExchange(t, f, p, 0); f.InUse().Version != 1 || g.c.Verify() != nil {
 		t.Fatalf("version %d, %v", f.InUse().Version, g.c.Verify())
 	}
 	// However much comes before and after it, the way back stays.
@@ -668,28 +676,28 @@
 	p := g.publisher(0, "a", "b")
 	a, b := g.follower("a", nil), g.follower("b", nil)
 	g.push(100)
-	if exchange(t, a, p, 0); p.settles() != 0 {
+	if mustExchange(t, a, p, 0); p.settles() != 0 {
 		t.Error("it settles before all that the log knows were heard")
 	}
-	exchange(t, b, p, 0)
-	exchange(t, a, p, time.Second)
+	mustExchange(t, b, p, 0)
+	mustExchange(t, a, p, time.Second)
 	if p.settles() != 0 {
 		t.Error("it settles by a version that was sent, and not told to be in force")
 	}
-	exchange(t, b, p, time.Second)
+	mustExchange(t, b, p, time.Second)
 	if p.settles() != 1 {
 		t.Errorf("%d settles", p.settles())
 	}
 	// One is silent: it holds settling up until its lease has run out.
 	g.must(Entry{Settle: 1})
 	g.push(200)
-	exchange(t, a, p, 2*time.Second)
-	exchange(t, a, p, 3*time.Second)
+	mustExchange(t, a, p, 2*time.Second)
+	mustExchange(t, a, p, 3*time.Second)
 	if goldRate(t, a.InUse()) != 100 {
 		t.Error("the raise holds before it has settled")
 	}
 	for now := 4 * time.Second; now < 8*time.Second; now += 500 * time.Millisecond {
-		exchange(t, a, p, now)
+		mustExchange(t, a, p, now)
 		if want := uint64(1); now < 5*time.Second && p.settles() != want {
 			t.Fatalf("%d settles at %v", p.settles(), now)
 		}
@@ -698,23 +706,23 @@
 		t.Fatalf("%d settles, want 2: the silent one's lease is over", p.settles())
 	}
 	g.must(Entry{Settle: 2})
-	if exchange(t, a, p, 8*time.Second); goldRate(t, a.InUse()) != 200 {
+	if mustExchange(t, a, p, 8*time.Second); goldRate(t, a.InUse()) != 200 {
 		t.Error("the raise does not hold")
 	}
 	// A new leader knows none of that, and waits for a lease.
 	g.push(300)
 	next := NewPublisher(p.timing, g.c, 10*time.Second)
-	exchange(t, a, next, 10*time.Second)
-	exchange(t, a, next, 11*time.Second)
+	mustExchange(t, a, next, 10*time.Second)
+	mustExchange(t, a, next, 11*time.Second)
 	if next.settles() != 0 {
 		t.Errorf("%d settles, and b was not heard", next.settles())
 	}
 	next.Tick(12 * time.Second)
-	exchange(t, a, next, 13900*time.Millisecond)
+	mustExchange(t, a, next, 13900*time.Millisecond)
 	if next.settles() != 0 {
 		t.Errorf("%d settles, and b was not heard", next.settles())
 	}
-	exchange(t, a, next, 14*time.Second)
+	mustExchange(t, a, next, 14*time.Second)
 	if next.settles() != 3 {
 		t.Errorf("%d settles, want 3", next.settles())
 	}
@@ -764,7 +772,7 @@
 		if q.Disk != "no space" {
 			t.Errorf("%q is told", q.Disk)
 		}
-		p.Poll(now, q)
+		_, _, _ = p.Poll(now, q)
 		if s := p.Status(now).Followers[0]; s.Why != "no space" || s.Standing != InForce {
 			t.Errorf("%+v", s)
 		}
--- a/internal/configfile/configfile_test.go
+++ b/internal/configfile/configfile_test.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	if err := f.Truncate(100 << 20); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/coordinator/disk_test.go
+++ b/internal/coordinator/disk_test.go
@@ -47,7 +47,7 @@
 		n++
 		dir := filepath.Join(root, string(rune('a'+n%26)), filepath.Base(root)+string(rune('a'+n/26%26))+string(rune('a'+n/676)))
 		d := fresh(t, dir)
-		defer func() { d.Close(); os.RemoveAll(dir) }()
+		defer func() { _ = d.Close(); os.RemoveAll(dir) }()
 		var log []uint64 // terms from first on
 		first, term := uint64(2), uint64(1)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
@@ -74,7 +74,9 @@
 				first, log = last+10, nil
 				err = d.Save(nil, nil, snapshot(term, first-1))
 			case 4:
-				d.Close()
+				if err := d.Close(); err != nil {
+					t.Error(err)
+				}
 				var s replica.Stored
 				if d, s, err = Open(dir, 1); err != nil {
 					t.Fatal(err)
@@ -116,7 +118,9 @@
 			t.Fatal(err)
 		}
 	}
-	d.Close()
+	if err := d.Close(); err != nil {
+		t.Error(err)
+	}
 	var other *OtherDisk
 	if _, _, err := Open(dir, 2); !errors.As(err, &other) {
 		t.Errorf("another's: %v", err)
@@ -135,7 +139,9 @@
 		}
 		d, s, err := Open(dir, 1)
 		if err == nil {
-			d.Close()
+			if err := d.Close(); err != nil {
+				t.Error(err)
+			}
 			if len(s.Entries) != 50 || s.Snapshot == nil { // what is read is whole, as the byte held nothing
 				t.Fatalf("byte %d: %d entries are taken for all", at, len(s.Entries))
 			}
@@ -156,7 +162,9 @@
 func TestDiskThatFails(t *testing.T) {
 	dir := t.TempDir()
 	d := fresh(t, dir)
-	d.Close()
+	if err := d.Close(); err != nil {
+		t.Error(err)
+	}
 	var failed *DiskFailed
 	if err := d.Save(nil, []*pb.Entry{entry(2, 2)}, nil); !errors.As(err, &failed) {
 		t.Errorf("a disk that is gone: %v", err)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -149,7 +149,7 @@
 }
 
 func say(r distribution.Reply) func(http.ResponseWriter, distribution.Poll) {
-	return func(w http.ResponseWriter, _ distribution.Poll) { json.NewEncoder(w).Encode(r) }
+	return func(w http.ResponseWriter, _ distribution.Poll) { _ = json.NewEncoder(w).Encode(r) }
 }
 
 // hold answers nothing until the question is given up.
@@ -225,7 +225,7 @@
 	second := distribution.Reply{Difference: &distribution.Difference{Base: 5, BaseHash: sum(a), Version: 6, Hash: sum(a, b), Set: []distribution.Resource{b}}, Settled: 5}
 	wrong := distribution.Reply{Difference: &distribution.Difference{Base: 5, BaseHash: sum(a), Version: 6, Hash: sum(b), Set: []distribution.Resource{b}}}
 	old := distribution.Reply{State: &distribution.State{Version: 3, Hash: sum(b), Resources: []distribution.Resource{b}}}
-	s := newScript(t, say(first), func(w http.ResponseWriter, _ distribution.Poll) { fmt.Fprint(w, "{") }, say(old), say(wrong), say(second), hold)
+	s := newScript(t, say(first), func(w http.ResponseWriter, _ distribution.Poll) { _, _ = fmt.Fprint(w, "{") }, say(old), say(wrong), say(second), hold)
 	dir := t.TempDir()
 	in := &fake{in: make(chan distribution.InUse, 100)}
 	stop := follow(t, dir, in, s.URL)
@@ -280,7 +280,7 @@
 	gone.Close()
 	sends := newScript(t, func(w http.ResponseWriter, _ distribution.Poll) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		fmt.Fprintf(w, `{"error":{"kind":"NotLeader","text":"no","remedy":"ask the leader"},"leader":%q}`, strings.TrimPrefix(leader.URL, "http://"))
+		_, _ = fmt.Fprintf(w, `{"error":{"kind":"NotLeader","text":"no","remedy":"ask the leader"},"leader":%q}`, strings.TrimPrefix(leader.URL, "http://"))
 	})
 	in := &fake{in: make(chan distribution.InUse, 100)}
 	follow(t, t.TempDir(), in, hangs.URL, gone.URL, sends.URL, leader.URL)
@@ -293,7 +293,7 @@
 func TestSameFaultIsToldOnce(t *testing.T) {
 	s := newScript(t, func(w http.ResponseWriter, _ distribution.Poll) {
 		w.WriteHeader(http.StatusConflict)
-		fmt.Fprint(w, `{"error":{"kind":"BadPoll","text":"a later one has come under this name","remedy":"give each a name of its own"}}`)
+		_, _ = fmt.Fprint(w, `{"error":{"kind":"BadPoll","text":"a later one has come under this name","remedy":"give each a name of its own"}}`)
 	})
 	var log bytes.Buffer
 	stop := followWith(t, t.TempDir(), &fake{in: make(chan distribution.InUse, 100)}, slog.NewTextHandler(&log, nil), strings.TrimPrefix(s.URL, "http://"))
--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go loop.Run()
+	go func() { _ = loop.Run() }()
 	t.Cleanup(func() {
 		loop.Post(loop.Stop)
 		<-loop.Done()
@@ -125,7 +125,7 @@
 func TestCallInPieces(t *testing.T) {
 	s, _ := serve(t, 4)
 	nc := dial(t, s)
-	nc.(*net.TCPConn).SetNoDelay(true)
+	_ = nc.(*net.TCPConn).SetNoDelay(true)
 	for _, b := range []byte("GET /status HTTP/1.1\r\nHost: x\r\n\r\n") {
 		if _, err := nc.Write([]byte{b}); err != nil {
 			t.Fatal(err)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -51,8 +51,8 @@
 		time.Sleep(time.Millisecond)
 	}
 	select {
-	case <-second2:
-		t.Fatal("two take clients")
+	case err := <-second2:
+		t.Fatalf("two take clients: %v", err)
 	default:
 	}
 	if err := first.Release(); err != nil {
--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -17,8 +17,8 @@
 		func(got received) { got.Line("$x") },
 		func(got received) { got.Line("*3\r\n$3000000000") },
 		func(got received) { got.Line("-BUSY \x01") },
-		func(got received) { got.Conn.Write([]byte("*3\r\n$9\r\nhalf")) },
-		func(got received) { got.Conn.Write([]byte("*3\r\n$9\r\nhal")); got.Conn.Close() },
+		func(got received) { _, _ = got.Conn.Write([]byte("*3\r\n$9\r\nhalf")) },
+		func(got received) { _, _ = got.Conn.Write([]byte("*3\r\n$9\r\nhal")); got.Conn.Close() },
 	} {
 		c := r.dial()
 		c.send("Q.DO", anyone, newID(), payment, "BODY")
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -36,7 +36,9 @@
 	var clients []*fakeClient
 	for n := range many {
 		c := r.dial()
-		c.nc.(*net.TCPConn).SetReadBuffer(256 << 10) // or the kernel holds all of it
+		if err := c.nc.(*net.TCPConn).SetReadBuffer(256 << 10); err != nil { // or the kernel holds all of it
+			t.Error(err)
+		}
 		c.send("Q.ASK", anyone, newID(), lookup)
 		got := wait(t, "a command", b.Got)
 		go got.Answer(largeValue(n)) // until all of it is taken
@@ -98,7 +100,7 @@
 	got := wait(t, "a command", b.Got)
 	value := largeValue(7)
 	go func() {
-		fmt.Fprintf(got.Conn, "*3\r\n$%d\r\n%s", len(value), value[:len(value)/2])
+		_, _ = fmt.Fprintf(got.Conn, "*3\r\n$%d\r\n%s", len(value), value[:len(value)/2])
 		got.Reset()
 	}()
 	head, err := c.in.ReadString('\n')
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -28,7 +28,7 @@
 // The ways in which a client leaves.
 var leaving = map[string]func(net.Conn){
 	"end":   func(nc net.Conn) { nc.Close() },
-	"reset": func(nc net.Conn) { nc.(*net.TCPConn).SetLinger(0); nc.Close() },
+	"reset": func(nc net.Conn) { _ = nc.(*net.TCPConn).SetLinger(0); nc.Close() },
 }
 
 // A request whose client has left while it waited must not go on, whether or not
@@ -236,7 +236,7 @@
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 	}}
 	nc, err := dialer.Dial("tcp", r.server.Addr())
 	if err != nil {
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	fd, err := syscall.Dup(int(file.Fd())) // the server closes the one that it is given
 	if err != nil {
 		t.Fatal(err)
@@ -270,7 +270,9 @@
 			t.Fatal(err)
 		}
 	}
-	held.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	if err := held.(*net.TCPListener).SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Error(err)
+	}
 	c, err := standin.Dial(held.Addr().String(), patience)
 	if err != nil {
 		t.Fatal("the socket is closed: ", err)
@@ -296,7 +298,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { // whoever waits for a connection gets one, and waits for no other
-		raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
 		if c, refused := standin.Dial(r.server.Addr(), patience); refused == nil {
 			c.Close()
 		}
--- a/internal/ingress/moment_test.go
+++ b/internal/ingress/moment_test.go
@@ -112,7 +112,7 @@
 	var x *crossing
 	r.ask(func(*loop) {
 		of := r.server.front.clients[0]
-		x = &crossing{Conn: of.net, come: func() { c.nc.Write(standin.Encode("Q.DO", anyone, newID(), payment, "BODY")) }}
+		x = &crossing{Conn: of.net, come: func() { _, _ = c.nc.Write(standin.Encode("Q.DO", anyone, newID(), payment, "BODY")) }}
 		of.net = x
 		r.server.Drain()
 	})
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -168,11 +168,11 @@
 		return
 	}
 	if a.ends {
-		io.WriteString(nc, "0\r\n\r\n")
+		_, _ = io.WriteString(nc, "0\r\n\r\n")
 		return
 	}
 	var after int
-	fmt.Sscan(r.URL.Query().Get("index"), &after)
+	_, _ = fmt.Sscan(r.URL.Query().Get("index"), &after)
 	first := after
 	if a.whole {
 		first = -1
@@ -265,7 +265,7 @@
 }
 
 // silent says nothing until the other side has left.
-func silent(_ *agent, nc net.Conn, _ *http.Request) { io.Copy(io.Discard, nc) }
+func silent(_ *agent, nc net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, nc) }
 
 func says(text string) call {
 	return func(a *agent, nc net.Conn, r *http.Request) {
@@ -276,7 +276,7 @@
 }
 
 func ending(text string) call {
-	return func(_ *agent, nc net.Conn, _ *http.Request) { io.WriteString(nc, text) }
+	return func(_ *agent, nc net.Conn, _ *http.Request) { _, _ = io.WriteString(nc, text) }
 }
 
 // drips says something and then a little, again and again.
--- a/internal/ingress/virtual_test.go
+++ b/internal/ingress/virtual_test.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return
 		}
-		nc.Watch(&playedConn{playedBackend: b, conn: nc})
+		_ = nc.Watch(&playedConn{playedBackend: b, conn: nc})
 	}
 }
 
@@ -166,7 +166,7 @@
 }
 
 // say writes on the attempt's connection.
-func (a *playedAttempt) say(text string) { a.conn.Write([]byte(text)) }
+func (a *playedAttempt) say(text string) { _, _ = a.conn.Write([]byte(text)) }
 
 // serve answers with a value.
 func (a *playedAttempt) serve(v string) {
--- a/internal/ingress/watch_test.go
+++ b/internal/ingress/watch_test.go
@@ -22,7 +22,7 @@
 	s := standin.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.URL.RawQuery
 		if r.URL.Query().Get("stream") == "" {
-			io.WriteString(w, list)
+			_, _ = io.WriteString(w, list)
 			return
 		}
 		n := int(watches.Add(1)) - 1
@@ -46,7 +46,7 @@
 
 func say(text string) func(io.Writer, *http.Request) {
 	return func(w io.Writer, r *http.Request) {
-		io.WriteString(w, text)
+		_, _ = io.WriteString(w, text)
 		<-r.Context().Done()
 	}
 }
@@ -87,13 +87,13 @@
 func TestObjectCutInTwoIsAskedForAnew(t *testing.T) {
 	for cut := 1; cut < len(change8); cut += 9 {
 		d, asked, got := script(t, listOf7, func(w io.Writer, r *http.Request) {
-			io.WriteString(w, change8[:cut])
+			_, _ = io.WriteString(w, change8[:cut])
 			nc, _, err := w.(flushing).c.Hijack()
 			if err != nil {
 				t.Error(err)
 				return
 			}
-			nc.(*net.TCPConn).SetLinger(0)
+			_ = nc.(*net.TCPConn).SetLinger(0)
 			nc.Close()
 		}, say(change8))
 		d.patience, d.silence = patience, patience
@@ -153,9 +153,9 @@
 func TestEmptyLinesTellThatAWatchLives(t *testing.T) {
 	over := make(chan struct{})
 	d, asked, got := script(t, listOf7, say(change8), func(w io.Writer, r *http.Request) {
-		io.WriteString(w, strings.Replace(change8, "8", "9", 1))
+		_, _ = io.WriteString(w, strings.Replace(change8, "8", "9", 1))
 		for begun := time.Now(); time.Since(begun) < 1500*time.Millisecond; time.Sleep(5 * time.Millisecond) {
-			io.WriteString(w, "\n")
+			_, _ = io.WriteString(w, "\n")
 		}
 		close(over)
 		<-r.Context().Done()
@@ -173,7 +173,7 @@
 func trickle(head, more string) func(io.Writer, *http.Request) {
 	return func(w io.Writer, r *http.Request) {
 		for text := head; r.Context().Err() == nil; text = more {
-			io.WriteString(w, text)
+			_, _ = io.WriteString(w, text)
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { syscall.Close(fds[0]); syscall.Close(fds[1]) })
+	t.Cleanup(func() { _ = syscall.Close(fds[0]); _ = syscall.Close(fds[1]) })
 	return fds[0], fds[1]
 }
 
@@ -53,13 +53,17 @@
 		t.Fatal(err)
 	}
 	until(t, p, func(fd int, tag int32, e Event) bool { return fd == near && tag == 7 && e&Writable != 0 })
-	syscall.Write(far, []byte("x"))
+	if _, err := syscall.Write(far, []byte("x")); err != nil {
+		t.Error(err)
+	}
 	until(t, p, func(fd int, tag int32, e Event) bool { return fd == near && tag == 7 && e&Readable != 0 })
 	// An event that nobody reads off is told once.
 	if err := p.Wait(time.Now().Add(5*time.Millisecond), func(int, int32, Event) { t.Error("told twice") }); err != nil {
 		t.Fatal(err)
 	}
-	syscall.Shutdown(far, syscall.SHUT_RDWR)
+	if err := syscall.Shutdown(far, syscall.SHUT_RDWR); err != nil {
+		t.Error(err)
+	}
 	until(t, p, func(fd int, tag int32, e Event) bool { return e&Gone != 0 })
 }
 
@@ -74,7 +78,9 @@
 	echoed := make(chan struct{})
 	go func() {
 		for range 5000 {
-			syscall.Write(far, []byte("x"))
+			if _, err := syscall.Write(far, []byte("x")); err != nil {
+				t.Error(err)
+			}
 			<-echoed
 		}
 	}()
@@ -113,7 +119,9 @@
 		}()
 		wait()
 		turn.Wait()
-		p.Wait(time.Now(), func(int, int32, Event) {}) // take a second one off
+		if err := p.Wait(time.Now(), func(int, int32, Event) {}); err != nil { // take a second one off
+			t.Error(err)
+		}
 	}
 }
 
@@ -145,7 +153,10 @@
 	}()
 	p.Close()
 	select {
-	case <-ended:
+	case err := <-ended:
+		if err == nil {
+			t.Error("the wait ends with no error")
+		}
 	case <-time.After(patience):
 		t.Fatal("the wait goes on")
 	}
--- a/internal/reactor/sockets_test.go
+++ b/internal/reactor/sockets_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	if fd, err = syscall.Dup(int(file.Fd())); err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +118,7 @@
 	}
 	defer world.Close()
 	address, fd := passed(t, false)
-	defer syscall.Close(fd)
+	defer func() { _ = syscall.Close(fd) }()
 	nc, err := world.Dial(address, quiet{})
 	if err != nil {
 		t.Fatal(err)
@@ -166,7 +166,7 @@
 			}
 		}
 		var buf [64]byte
-		k.Read(buf[:])
+		_, _ = k.Read(buf[:])
 		if again := k.Waited(); again < age {
 			t.Fatalf("what was read is %v old, and was %v", again, age)
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -47,7 +47,7 @@
 		}
 		c := &farConn{Conn: nc, far: f}
 		f.conns = append(f.conns, c)
-		nc.Watch(c)
+		_ = nc.Watch(c)
 	}
 }
 
@@ -184,7 +184,7 @@
 		}, choice.OK, "x"},
 		{"answered together with the end", func(b *bench) {
 			b.run(5 * ms)
-			b.far.conns[0].Write(answer("v"))
+			_, _ = b.far.conns[0].Write(answer("v"))
 			b.far.conns[0].CloseWrite()
 			b.run(5 * ms)
 			if b.Open() != 0 {
@@ -199,7 +199,7 @@
 		{"reset after the request", func(b *bench) { b.run(5 * ms); b.node.Kill(); b.run(5 * ms) }, choice.Reset, "x"},
 		{"ended in the answer", func(b *bench) {
 			b.run(5 * ms)
-			b.far.conns[0].Write(answer("v")[:6])
+			_, _ = b.far.conns[0].Write(answer("v")[:6])
 			b.far.conns[0].Close()
 			b.run(5 * ms)
 		}, choice.Reset, "x"},
@@ -313,7 +313,7 @@
 func TestDialWaitsForADescriptor(t *testing.T) {
 	b := newBench(t)
 	b.near.Files = 1
-	b.do(func() { b.near.Dial("10.0.0.2:9", nil) }) // takes the only one
+	b.do(func() { _, _ = b.near.Dial("10.0.0.2:9", nil) }) // takes the only one
 	a := b.begin("x")
 	b.run(10 * ms)
 	if b.starved == 0 || a.conn == nil {
@@ -369,7 +369,7 @@
 				b.earn()
 			}
 			c := b.exchange("first")
-			b.net.After(after, func() { c.Write(answer("first")) })
+			b.net.After(after, func() { _, _ = c.Write(answer("first")) })
 			for n := range 8 {
 				// Each next request comes to its connection and is answered a
 				// moment later, so that the copy may come in between.
@@ -635,7 +635,7 @@
 		"connecting": func(b *bench) *Attempt { return b.begin("x") },
 		"no descriptor": func(b *bench) *Attempt {
 			b.near.Files = 1
-			b.do(func() { b.near.Dial("10.0.0.2:9", nil) }) // takes the only one
+			b.do(func() { _, _ = b.near.Dial("10.0.0.2:9", nil) }) // takes the only one
 			return b.begin("x")
 		},
 		"half written": func(b *bench) *Attempt {
@@ -748,7 +748,7 @@
 				if about == "the end at rest" {
 					at = b.net.Now() - 2*fullRest + time.Duration(idleShare*10*float64(time.Second))
 				}
-				b.net.After(at+after-b.net.Now()-b.net.Faults.Latency, func() { c.Write([]byte(half)) })
+				b.net.After(at+after-b.net.Now()-b.net.Faults.Latency, func() { _, _ = c.Write([]byte(half)) })
 				b.net.Until(at)
 				if about == "the news of a drain" {
 					b.do(func() { b.Member(Member{Name: "b", State: choice.Draining}) })
@@ -759,7 +759,7 @@
 				b.far.seen = func(c *farConn) {
 					if string(c.got) == "payment" && !c.over {
 						c.got, ran = nil, true
-						c.Write(answer("right"))
+						_, _ = c.Write(answer("right"))
 					}
 				}
 				b.begin("payment")
@@ -792,7 +792,7 @@
 			b.reply(b.far.conns[0], answer("v")[:6])
 		}
 		b.near.Pause() // its poller tells nothing
-		b.far.conns[0].Write([]byte(text))
+		_, _ = b.far.conns[0].Write([]byte(text))
 		b.run(2 * patience)
 		a.conn.Ring()
 		b.near.Resume()
