--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -85,6 +85,18 @@
 	if n := len(c.Peers); n != 1 && n != 3 && n != 5 {
 		file.Fault("coordinator", "1, 3 or 5 of them, not %d", n)
 	}
+	c.checkBudgets(file)
+	if err := c.Times.Timing().Check(); err != nil {
+		file.Fault("times", "%v", err)
+	}
+	if t := c.Times; t.Tick < 0 || t.Decide < 0 || t.tick() < 10*time.Millisecond || t.decide() > c.Times.Timing().Fresh/3 {
+		file.Fault("times", "tick_ms is 10 at least, decide_ms a third of fresh_ms at most")
+	}
+	return c, file.Faults()
+}
+
+// checkBudgets tells what is wrong with the budgets.
+func (c *Config) checkBudgets(file *tomlfile.File) {
 	if len(c.Budget) == 0 {
 		file.Fault("budget", "one at least: without any, nothing bounds how many are out")
 	}
@@ -96,11 +108,4 @@
 			file.FaultAt("budget", i, "%v", err)
 		}
 	}
-	if err := c.Times.Timing().Check(); err != nil {
-		file.Fault("times", "%v", err)
-	}
-	if t := c.Times; t.Tick < 0 || t.Decide < 0 || t.tick() < 10*time.Millisecond || t.decide() > c.Times.Timing().Fresh/3 {
-		file.Fault("times", "tick_ms is 10 at least, decide_ms a third of fresh_ms at most")
-	}
-	return c, file.Faults()
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -229,140 +229,172 @@
 	}
 }
 
+// routes gives each path of the link its handler.
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
-	handle := func(pattern string, most int64, wait time.Duration, f func(ctx context.Context, body []byte) (any, error)) {
-		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-			if err != nil {
-				s.answer(w, nil, &rollout.BadRequest{What: err.Error()})
-				return
-			}
-			ctx, cancel := context.WithTimeout(r.Context(), wait)
-			defer cancel()
-			out, err := f(ctx, body)
-			s.answer(w, out, err)
-		})
-	}
-	parse := func(body []byte, to any) error {
-		if err := json.Unmarshal(body, to); err != nil {
-			return &rollout.BadRequest{What: err.Error()}
+	s.handle(mux, "POST "+rolloutlink.PathReport, rolloutlink.MostReport, callTime, s.serveReport)
+	s.handle(mux, "POST "+rolloutlink.PathOrder, rolloutlink.MostOrder, orderTime, s.serveOrder)
+	s.handle(mux, "POST "+rolloutlink.PathReplace, rolloutlink.MostOrder, callTime, s.serveReplace)
+	s.handle(mux, "GET "+rolloutlink.PathStatus, 0, callTime, s.serveStatus)
+	s.handle(mux, "POST "+rolloutlink.PathConfigPoll, rolloutlink.MostReport, pollTime, s.serveConfigPoll)
+	s.handle(mux, "POST "+rolloutlink.PathConfigOrder, rolloutlink.MostConfig, orderTime, s.serveConfigOrder)
+	s.handle(mux, "GET "+rolloutlink.PathConfig, 0, callTime, s.serveConfig)
+	s.handle(mux, "GET "+rolloutlink.PathConfigStatus, 0, callTime, s.serveConfigStatus)
+	s.handle(mux, "POST "+rolloutlink.PathRaft, rolloutlink.MostRaft, callTime, s.serveRaft)
+	return mux
+}
+
+// handle serves a pattern by f, with bodies of so many bytes at most and within a time.
+func (s *Server) handle(mux *http.ServeMux, pattern string, most int64, wait time.Duration, f func(ctx context.Context, body []byte) (any, error)) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+		if err != nil {
+			s.answer(w, nil, &rollout.BadRequest{What: err.Error()})
+			return
 		}
-		return nil
+		ctx, cancel := context.WithTimeout(r.Context(), wait)
+		defer cancel()
+		out, err := f(ctx, body)
+		s.answer(w, out, err)
+	})
+}
+
+// parse decodes the body of a request.
+func parse(body []byte, to any) error {
+	if err := json.Unmarshal(body, to); err != nil {
+		return &rollout.BadRequest{What: err.Error()}
 	}
-	handle("POST "+rolloutlink.PathReport, rolloutlink.MostReport, callTime, func(ctx context.Context, body []byte) (any, error) {
-		var report rollout.Report
-		if err := parse(body, &report); err != nil {
-			return nil, err
-		}
-		var reply rollout.Reply
-		err := s.do(ctx, func(done func(error)) {
-			var err error
-			reply, err = s.replica.Report(s.now(), report)
-			done(err)
-		})
-		return reply, err
+	return nil
+}
+
+// serveReport takes an agent's report.
+func (s *Server) serveReport(ctx context.Context, body []byte) (any, error) {
+	var report rollout.Report
+	if err := parse(body, &report); err != nil {
+		return nil, err
+	}
+	var reply rollout.Reply
+	err := s.do(ctx, func(done func(error)) {
+		var err error
+		reply, err = s.replica.Report(s.now(), report)
+		done(err)
 	})
-	handle("POST "+rolloutlink.PathOrder, rolloutlink.MostOrder, orderTime, func(ctx context.Context, body []byte) (any, error) {
-		var e rollout.Entry
-		if err := parse(body, &e); err != nil {
-			return nil, err
-		}
-		if err := e.CheckOrder(); err != nil {
-			return nil, err
+	return reply, err
+}
+
+// serveOrder takes an operator's order.
+func (s *Server) serveOrder(ctx context.Context, body []byte) (any, error) {
+	var e rollout.Entry
+	if err := parse(body, &e); err != nil {
+		return nil, err
+	}
+	if err := e.CheckOrder(); err != nil {
+		return nil, err
+	}
+	err := s.do(ctx, func(done func(error)) { s.replica.Order(s.now(), e, done) })
+	s.log.Info("order", "by", e.By, "request", e.Request, "error", err)
+	return struct{}{}, err
+}
+
+// serveReplace puts one coordinator in the place of another.
+func (s *Server) serveReplace(ctx context.Context, body []byte) (any, error) {
+	var r rolloutlink.Replace
+	if err := parse(body, &r); err != nil {
+		return nil, err
+	}
+	return struct{}{}, s.do(ctx, func(done func(error)) { done(s.replica.Replace(s.now(), r.Old, r.New, r.Address)) })
+}
+
+// serveStatus tells how the fleet stands.
+func (s *Server) serveStatus(ctx context.Context, _ []byte) (any, error) {
+	var status json.RawMessage // made on the goroutine that owns what it tells of
+	err := s.do(ctx, func(done func(error)) {
+		st, err := s.replica.Status(s.now())
+		if err == nil {
+			status, err = json.Marshal(rolloutlink.Status{Status: st, Coordinator: s.cfg.ID, Coordinators: s.replica.Peers()})
 		}
-		err := s.do(ctx, func(done func(error)) { s.replica.Order(s.now(), e, done) })
-		s.log.Info("order", "by", e.By, "request", e.Request, "error", err)
-		return struct{}{}, err
+		done(err)
 	})
-	handle("POST "+rolloutlink.PathReplace, rolloutlink.MostOrder, callTime, func(ctx context.Context, body []byte) (any, error) {
-		var r rolloutlink.Replace
-		if err := parse(body, &r); err != nil {
-			return nil, err
-		}
-		return struct{}{}, s.do(ctx, func(done func(error)) { done(s.replica.Replace(s.now(), r.Old, r.New, r.Address)) })
+	return status, err
+}
+
+// serveConfigPoll answers a follower's poll.
+func (s *Server) serveConfigPoll(ctx context.Context, body []byte) (any, error) {
+	var poll distribution.Poll
+	if err := parse(body, &poll); err != nil {
+		return nil, err
+	}
+	var reply distribution.Reply
+	err := s.do(ctx, func(done func(error)) {
+		s.replica.Poll(s.now(), poll, func(r distribution.Reply, err error) { reply = r; done(err) })
 	})
-	handle("GET "+rolloutlink.PathStatus, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
-		var status json.RawMessage // made on the goroutine that owns what it tells of
-		err := s.do(ctx, func(done func(error)) {
-			st, err := s.replica.Status(s.now())
-			if err == nil {
-				status, err = json.Marshal(rolloutlink.Status{Status: st, Coordinator: s.cfg.ID, Coordinators: s.replica.Peers()})
+	if err != nil {
+		return nil, err
+	}
+	return s.encoded.reply(reply)
+}
+
+// serveConfigOrder takes a change of configuration.
+func (s *Server) serveConfigOrder(ctx context.Context, body []byte) (any, error) {
+	var e distribution.Entry
+	if err := parse(body, &e); err != nil {
+		return nil, err
+	}
+	if err := e.CheckOrder(); err != nil {
+		return nil, err
+	}
+	var made uint64
+	err := s.do(ctx, func(done func(error)) {
+		s.replica.Configure(s.now(), e, func(err error) {
+			if c, failed := s.replica.Catalog(); failed == nil {
+				made, _ = c.Made(e.Request)
 			}
 			done(err)
 		})
-		return status, err
 	})
-	handle("POST "+rolloutlink.PathConfigPoll, rolloutlink.MostReport, pollTime, func(ctx context.Context, body []byte) (any, error) {
-		var poll distribution.Poll
-		if err := parse(body, &poll); err != nil {
-			return nil, err
-		}
-		var reply distribution.Reply
-		err := s.do(ctx, func(done func(error)) {
-			s.replica.Poll(s.now(), poll, func(r distribution.Reply, err error) { reply = r; done(err) })
-		})
-		if err != nil {
-			return nil, err
+	s.log.Info("configuration", "by", e.By, "request", e.Request, "version", made, "error", err)
+	return rolloutlink.Ordered{Version: made}, err
+}
+
+// serveConfig tells the newest version of the configuration.
+func (s *Server) serveConfig(ctx context.Context, _ []byte) (any, error) {
+	var c rolloutlink.Config
+	err := s.do(ctx, func(done func(error)) {
+		catalog, err := s.replica.Catalog()
+		if err == nil {
+			c = rolloutlink.Config{State: distribution.State{Version: catalog.Version, Hash: catalog.Hash, Resources: catalog.Resources}, Oldest: catalog.Oldest()}
 		}
-		return s.encoded.reply(reply)
+		done(err)
 	})
-	handle("POST "+rolloutlink.PathConfigOrder, rolloutlink.MostConfig, orderTime, func(ctx context.Context, body []byte) (any, error) {
-		var e distribution.Entry
-		if err := parse(body, &e); err != nil {
-			return nil, err
-		}
-		if err := e.CheckOrder(); err != nil {
-			return nil, err
-		}
-		var made uint64
-		err := s.do(ctx, func(done func(error)) {
-			s.replica.Configure(s.now(), e, func(err error) {
-				if c, failed := s.replica.Catalog(); failed == nil {
-					made, _ = c.Made(e.Request)
-				}
-				done(err)
-			})
-		})
-		s.log.Info("configuration", "by", e.By, "request", e.Request, "version", made, "error", err)
-		return rolloutlink.Ordered{Version: made}, err
+	return c, err
+}
+
+// serveConfigStatus tells which version is in force where.
+func (s *Server) serveConfigStatus(ctx context.Context, _ []byte) (any, error) {
+	var status distribution.Status
+	err := s.do(ctx, func(done func(error)) {
+		var err error
+		status, err = s.replica.ConfigStatus(s.now())
+		done(err)
 	})
-	handle("GET "+rolloutlink.PathConfig, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
-		var c rolloutlink.Config
-		err := s.do(ctx, func(done func(error)) {
-			catalog, err := s.replica.Catalog()
-			if err == nil {
-				c = rolloutlink.Config{State: distribution.State{Version: catalog.Version, Hash: catalog.Hash, Resources: catalog.Resources}, Oldest: catalog.Oldest()}
+	return status, err
+}
+
+// serveRaft takes messages of other coordinators.
+func (s *Server) serveRaft(ctx context.Context, body []byte) (any, error) {
+	var batch rolloutlink.Raft
+	if err := parse(body, &batch); err != nil {
+		return nil, err
+	}
+	return struct{}{}, s.do(ctx, func(done func(error)) {
+		var err error
+		for _, m := range batch.Messages {
+			if e := s.replica.Step(s.now(), m); e != nil {
+				err = e
 			}
-			done(err)
-		})
-		return c, err
-	})
-	handle("GET "+rolloutlink.PathConfigStatus, 0, callTime, func(ctx context.Context, _ []byte) (any, error) {
-		var status distribution.Status
-		err := s.do(ctx, func(done func(error)) {
-			var err error
-			status, err = s.replica.ConfigStatus(s.now())
-			done(err)
-		})
-		return status, err
-	})
-	handle("POST "+rolloutlink.PathRaft, rolloutlink.MostRaft, callTime, func(ctx context.Context, body []byte) (any, error) {
-		var batch rolloutlink.Raft
-		if err := parse(body, &batch); err != nil {
-			return nil, err
 		}
-		return struct{}{}, s.do(ctx, func(done func(error)) {
-			var err error
-			for _, m := range batch.Messages {
-				if e := s.replica.Step(s.now(), m); e != nil {
-					err = e
-				}
-			}
-			done(err)
-		})
+		done(err)
 	})
-	return mux
 }
 
 func (s *Server) answer(w http.ResponseWriter, out any, err error) {
