Check each kind of resource in a method of its own

The texts and their order stay, since the log's outcomes hold them. Tests of distribution, distsim, follower and configfile pass.

--- a/distribution/resource.go
+++ b/distribution/resource.go
@@ -214,17 +214,8 @@
 	if r.size() > MostResource {
 		return fmt.Sprintf("%d bytes, %d at most", r.size(), MostResource)
 	}
-	var to any
-	switch kind {
-	case KindPlan:
-		to = &Plan{}
-	case KindLimit:
-		to = &Limit{}
-	case KindService:
-		to = &Service{}
-	case KindRoute:
-		to = &Route{}
-	default:
+	to := newValue(kind)
+	if to == nil {
 		return fmt.Sprintf("there is no kind %q", kind)
 	}
 	if err := decode(r, to); err != nil {
@@ -233,39 +224,70 @@
 	if again, err := Encode(to); err != nil || !bytes.Equal(again, r.Data) {
 		return "it is not written as it has to be" // one hash a meaning
 	}
-	switch v := to.(type) {
-	case *Plan:
-		// In this order always: what is said stands in the log's outcome, the same at each coordinator.
-		for _, f := range []struct {
-			name  string
-			value float64
-		}{{"rate", v.Rate}, {"burst", v.Burst}, {"open", float64(v.Open)}, {"price", v.Price}, {"over_cost", v.OverCost},
-			{"ceiling_rate", v.CeilingRate}, {"ceiling_burst", v.CeilingBurst}, {"ceiling_tolerance", v.CeilingTolerance}} {
-			if !(f.value >= 0) || math.IsInf(f.value, 1) {
-				return fmt.Sprintf("%s is %v, want 0 or more", f.name, f.value)
-			}
-		}
-		if v.Rate > 0 && v.Burst <= 0 || v.CeilingRate > 0 && v.CeilingBurst <= 0 {
-			return "a bucket that is filled must hold something: burst and ceiling_burst are above 0 where their rates are"
-		}
-	case *Limit:
-		switch {
-		case name == LimitAttempts && (v.Value != math.Trunc(v.Value) || v.Value < 1 || v.Value > 4):
-			return "attempts are 1 to 4"
-		case name == LimitUnits && !(v.Value > 0), name == LimitRetryAfter && !(v.Value >= 0), math.IsInf(v.Value, 0):
-			return fmt.Sprintf("%v is out of range", v.Value)
-		case name != LimitAttempts && name != LimitUnits && name != LimitRetryAfter:
-			return "there is no such limit"
-		}
-	case *Service:
-		if v.AimMS < 0 || !(v.Weight >= 0) {
-			return "aim_ms and weight are 0 or more"
-		}
-	case *Route:
-		if v.Service == "" || v.Percent < 0 || v.Percent > 100 {
-			return "a service is wanted, and a percent of 0 to 100"
+	return to.check(name)
+}
+
+// value is what a resource of one kind holds.
+type value interface {
+	// check tells what is wrong with the value under its name; "" for nothing.
+	check(name string) string
+}
+
+// newValue makes an empty value of a kind, nil for one that there is not.
+func newValue(kind string) value {
+	switch kind {
+	case KindPlan:
+		return &Plan{}
+	case KindLimit:
+		return &Limit{}
+	case KindService:
+		return &Service{}
+	case KindRoute:
+		return &Route{}
+	}
+	return nil
+}
+
+func (v *Plan) check(string) string {
+	// In this order always: what is said stands in the log's outcome, the same at each coordinator.
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{{"rate", v.Rate}, {"burst", v.Burst}, {"open", float64(v.Open)}, {"price", v.Price}, {"over_cost", v.OverCost},
+		{"ceiling_rate", v.CeilingRate}, {"ceiling_burst", v.CeilingBurst}, {"ceiling_tolerance", v.CeilingTolerance}} {
+		if !(f.value >= 0) || math.IsInf(f.value, 1) {
+			return fmt.Sprintf("%s is %v, want 0 or more", f.name, f.value)
 		}
 	}
+	if v.Rate > 0 && v.Burst <= 0 || v.CeilingRate > 0 && v.CeilingBurst <= 0 {
+		return "a bucket that is filled must hold something: burst and ceiling_burst are above 0 where their rates are"
+	}
+	return ""
+}
+
+func (v *Limit) check(name string) string {
+	switch {
+	case name == LimitAttempts && (v.Value != math.Trunc(v.Value) || v.Value < 1 || v.Value > 4):
+		return "attempts are 1 to 4"
+	case name == LimitUnits && !(v.Value > 0), name == LimitRetryAfter && !(v.Value >= 0), math.IsInf(v.Value, 0):
+		return fmt.Sprintf("%v is out of range", v.Value)
+	case name != LimitAttempts && name != LimitUnits && name != LimitRetryAfter:
+		return "there is no such limit"
+	}
+	return ""
+}
+
+func (v *Service) check(string) string {
+	if v.AimMS < 0 || !(v.Weight >= 0) {
+		return "aim_ms and weight are 0 or more"
+	}
+	return ""
+}
+
+func (v *Route) check(string) string {
+	if v.Service == "" || v.Percent < 0 || v.Percent > 100 {
+		return "a service is wanted, and a percent of 0 to 100"
+	}
 	return ""
 }
 
