--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -87,7 +87,6 @@
 	if c.name, err = parseHex(args[2]); err != nil {
 		return nil, errors.New("bad request id")
 	}
-	gateways := max(1, cfg.Choice.Gateways)
 	var seen option
 	options := string(args[optionsArg])
 	for at := 0; at <= len(options); {
@@ -104,39 +103,11 @@
 			return nil, fmt.Errorf("%s stands twice", name)
 		}
 		seen |= is
-		switch is {
-		case optClass:
-			if c.class, ok = cfg.classes[value]; !ok {
-				return nil, errors.New("unknown class")
-			}
-		case optPlan:
-			if c.plan, ok = cfg.plans[value]; !ok {
-				return nil, errors.New("unknown plan")
-			}
-		case optLimit:
-			var ms float64
-			ms, err = resp.Decimal(value)
-			if err == nil && ms < 1 {
-				err = resp.ErrMalformed
-			}
-			c.limit = time.Duration(min(ms, math.MaxInt32) * float64(time.Millisecond))
-			c.limitAt, c.limitTo = at+len("d="), end
-		case optUnits:
-			c.units, err = resp.Decimal(value)
-			if most := cfg.Choice.MaxUnits; err == nil && (c.units <= 0 || most > 0 && c.units > most) {
-				err = resp.ErrMalformed
-			}
-		case optSpread:
-			c.spread, err = resp.Count(value, 1, gateways)
-		case optFirst:
-			c.first, err = resp.Count(value, 0, gateways-1)
-		case optRepeat:
-			var r int
-			r, err = resp.Count(value, 0, 1)
-			c.repeat = r == 1
+		if err = cfg.parseOption(c, is, name, value); err != nil {
+			return nil, err
 		}
-		if err != nil {
-			return nil, fmt.Errorf("bad value of %s", name)
+		if is == optLimit {
+			c.limitAt, c.limitTo = at+len("d="), end
 		}
 		at = end + 1
 	}
@@ -149,6 +120,46 @@
 	return c, nil
 }
 
+// parseOption decodes the value of one option into the command.
+func (cfg *Config) parseOption(c *command, is option, name, value string) (err error) {
+	gateways := max(1, cfg.Choice.Gateways)
+	ok := true
+	switch is {
+	case optClass:
+		if c.class, ok = cfg.classes[value]; !ok {
+			return errors.New("unknown class")
+		}
+	case optPlan:
+		if c.plan, ok = cfg.plans[value]; !ok {
+			return errors.New("unknown plan")
+		}
+	case optLimit:
+		var ms float64
+		ms, err = resp.Decimal(value)
+		if err == nil && ms < 1 {
+			err = resp.ErrMalformed
+		}
+		c.limit = time.Duration(min(ms, math.MaxInt32) * float64(time.Millisecond))
+	case optUnits:
+		c.units, err = resp.Decimal(value)
+		if most := cfg.Choice.MaxUnits; err == nil && (c.units <= 0 || most > 0 && c.units > most) {
+			err = resp.ErrMalformed
+		}
+	case optSpread:
+		c.spread, err = resp.Count(value, 1, gateways)
+	case optFirst:
+		c.first, err = resp.Count(value, 0, gateways-1)
+	case optRepeat:
+		var r int
+		r, err = resp.Count(value, 0, 1)
+		c.repeat = r == 1
+	}
+	if err != nil {
+		return fmt.Errorf("bad value of %s", name)
+	}
+	return nil
+}
+
 // option is one of the names in a request's options, as a bit.
 type option uint
 
