--- a/cmd/wickarch/descriptors_test.go
+++ b/cmd/wickarch/descriptors_test.go
@@ -143,8 +143,8 @@
 					return
 				}
 				defer resp.Body.Close()
-				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
-					t.Errorf("the second address answers %s, %v", resp.Status, err)
+				if _, broken := io.Copy(io.Discard, resp.Body); broken != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("the second address answers %s, %v", resp.Status, broken)
 				}
 			}
 			for range 20 {
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -296,20 +296,25 @@
 	save.Version, save.Hash, save.Settled, save.Before = next.Version, next.Hash, next.Settled, next.before()
 	if r.State != nil || r.Difference != nil {
 		if err := f.check(save.Set); err != nil {
-			refused, one := err.(*Refused)
-			if !one {
-				refused = &Refused{Why: err.Error()}
-			}
-			if refused.Line == 0 {
-				refused.Line = next.Set[refused.Key].Line
-			}
-			f.refused = &Halted{Version: next.Version, Follower: f.cfg.Name, Refused: *refused}
+			f.refused = f.halted(&next, err)
 			return nil, nil, f.refused
 		}
 	}
 	return save, &next, nil
 }
 
+// halted makes of the fault of a version the refusal that the publisher is sent.
+func (f *Follower) halted(next *InUse, fault error) *Halted {
+	refused, one := fault.(*Refused)
+	if !one {
+		refused = &Refused{Why: fault.Error()}
+	}
+	if refused.Line == 0 {
+		refused.Line = next.Set[refused.Key].Line
+	}
+	return &Halted{Version: next.Version, Follower: f.cfg.Name, Refused: *refused}
+}
+
 // Saved tells that what Replied returned is kept, or why not: it is put in force all the same,
 // and operators are told. What it returns is to be decided by from now on, and then told by
 // Using.
--- a/internal/coordinator/disk_test.go
+++ b/internal/coordinator/disk_test.go
@@ -74,7 +74,7 @@
 				first, log = last+10, nil
 				err = d.Save(nil, nil, snapshot(term, first-1))
 			case 4:
-				if err := d.Close(); err != nil {
+				if err = d.Close(); err != nil {
 					t.Error(err)
 				}
 				var s replica.Stored
@@ -139,7 +139,7 @@
 		}
 		d, s, err := Open(dir, 1)
 		if err == nil {
-			if err := d.Close(); err != nil {
+			if err = d.Close(); err != nil {
 				t.Error(err)
 			}
 			if len(s.Entries) != 50 || s.Snapshot == nil { // what is read is whole, as the byte held nothing
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -123,7 +123,7 @@
 // parseOption decodes the value of one option into the command.
 func (cfg *Config) parseOption(c *command, is option, name, value string) (err error) {
 	gateways := max(1, cfg.Choice.Gateways)
-	ok := true
+	var ok bool
 	switch is {
 	case optClass:
 		if c.class, ok = cfg.classes[value]; !ok {
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -270,7 +270,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := held.(*net.TCPListener).SetDeadline(time.Now().Add(patience)); err != nil {
+	if err = held.(*net.TCPListener).SetDeadline(time.Now().Add(patience)); err != nil {
 		t.Error(err)
 	}
 	c, err := standin.Dial(held.Addr().String(), patience)
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -200,26 +200,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen.Open--
-	switch {
-	case cut:
-		f.seen.Cut++
-	case outcome == Served:
-		f.seen.Served++
-	case outcome == Refused:
-		f.seen.Refused++
-	case outcome == Failed:
-		f.seen.Failed++
-	case outcome == Wrong:
-		f.seen.Wrong++
-	case outcome == Lost:
-		f.seen.Lost++
-	default:
-		f.seen.Unreached++
-		if nobody {
-			f.seen.Nobody++
-		}
-	}
+	f.count(outcome, cut, nobody)
 	if outcome > Failed || cut || c == nil {
 		if c != nil {
 			c.Close()
@@ -261,3 +242,27 @@
 	}
 	return "", errors.New("no address on loopback is free")
 }
+
+// count counts how a request ended. The caller holds the mutex.
+func (f *Front) count(outcome Outcome, cut, nobody bool) {
+	f.seen.Open--
+	switch {
+	case cut:
+		f.seen.Cut++
+	case outcome == Served:
+		f.seen.Served++
+	case outcome == Refused:
+		f.seen.Refused++
+	case outcome == Failed:
+		f.seen.Failed++
+	case outcome == Wrong:
+		f.seen.Wrong++
+	case outcome == Lost:
+		f.seen.Lost++
+	default:
+		f.seen.Unreached++
+		if nobody {
+			f.seen.Nobody++
+		}
+	}
+}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -168,25 +168,7 @@
 	if resent {
 		l.seen.Resent++
 	}
-	switch outcome {
-	case Served:
-		l.seen.Served++
-		l.late = append(l.late, took)
-	case Refused:
-		l.seen.Refused++
-	case Failed:
-		l.seen.Failed++
-	case Wrong:
-		l.seen.Wrong++
-	case Lost:
-		l.seen.Lost++
-	case Unsent:
-		if c != nil && tardy {
-			l.seen.Tardy++
-		} else {
-			l.seen.Unreached++
-		}
-	}
+	l.count(outcome, took, c != nil && tardy)
 	if c == nil {
 		return
 	}
@@ -255,3 +237,27 @@
 	}
 	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
 }
+
+// count counts how a request ended, took being its time from when it was due. The caller
+// holds the mutex.
+func (l *Load) count(outcome Outcome, took time.Duration, tardy bool) {
+	switch outcome {
+	case Served:
+		l.seen.Served++
+		l.late = append(l.late, took)
+	case Refused:
+		l.seen.Refused++
+	case Failed:
+		l.seen.Failed++
+	case Wrong:
+		l.seen.Wrong++
+	case Lost:
+		l.seen.Lost++
+	case Unsent:
+		if tardy {
+			l.seen.Tardy++
+		} else {
+			l.seen.Unreached++
+		}
+	}
+}
