Split three long functions: the simulation's plan, a log entry's application, the disk's load

The simulation draws in the same order as before. Tests of coordinator, simulate, rollout, fleetsim, its search and distsim pass.

--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -226,33 +226,41 @@
 		} else if ok {
 			s.Snapshot = snap
 		}
-		last := s.Snapshot.GetMetadata().GetIndex()
-		return entries.ForEach(func(k, v []byte) error {
-			b, err := check(v)
-			if err != nil || len(k) != 8 {
-				return damaged("an entry: %v", err)
-			}
-			e := &pb.Entry{}
-			if err := proto.Unmarshal(b, e); err != nil {
-				return damaged("an entry: %v", err)
-			}
-			if e.GetIndex() != binary.BigEndian.Uint64(k) {
-				return damaged("entry %d stands in the place of another", e.GetIndex())
-			}
-			if e.GetIndex() <= s.Snapshot.GetMetadata().GetIndex() {
-				return nil
-			}
-			if e.GetIndex() != last+1 {
-				return damaged("entry %d follows %d", e.GetIndex(), last)
-			}
-			last = e.GetIndex()
-			s.Entries = append(s.Entries, e)
-			return nil
-		})
+		s.Entries, err = readEntries(entries, s.Snapshot.GetMetadata().GetIndex(), damaged)
+		return err
 	})
 	return s, err
 }
 
+// readEntries reads the log behind the snapshot, which ends at an index.
+func readEntries(bucket *bbolt.Bucket, snapshot uint64, damaged func(string, ...any) error) ([]*pb.Entry, error) {
+	var read []*pb.Entry
+	last := snapshot
+	err := bucket.ForEach(func(k, v []byte) error {
+		b, wrong := check(v)
+		if wrong != nil || len(k) != 8 {
+			return damaged("an entry: %v", wrong)
+		}
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(b, e); err != nil {
+			return damaged("an entry: %v", err)
+		}
+		if e.GetIndex() != binary.BigEndian.Uint64(k) {
+			return damaged("entry %d stands in the place of another", e.GetIndex())
+		}
+		if e.GetIndex() <= snapshot {
+			return nil
+		}
+		if e.GetIndex() != last+1 {
+			return damaged("entry %d follows %d", e.GetIndex(), last)
+		}
+		last = e.GetIndex()
+		read = append(read, e)
+		return nil
+	})
+	return read, err
+}
+
 // Save is that of replica.Disk.
 func (d *Disk) Save(state *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
 	return d.update(func(meta, log *bbolt.Bucket) error { return d.keep(meta, log, state, entries, snapshot) })
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -418,36 +418,8 @@
 			}
 		})
 	})
-	some(r.Cuts, func() {
-		a := r.gateways[r.rand.IntN(len(r.gateways))].node.IP
-		b := r.clients[r.rand.IntN(len(r.clients))].node.IP
-		if r.rand.IntN(3) > 0 {
-			b = r.backends[r.rand.IntN(len(r.backends))].node.IP
-		}
-		ways := 1 + r.rand.IntN(3) // one way, the other, or both
-		s := span{r.net.Now(), r.net.Now() + 10*ms + time.Duration(r.rand.Int64N(int64(600*ms)))}
-		r.cuts[a+b] = append(r.cuts[a+b], s)
-		r.say("cut %s %s, %d", a, b, ways)
-		if ways&1 > 0 {
-			r.net.Cut(a, b)
-		}
-		if ways&2 > 0 {
-			r.net.Cut(b, a)
-		}
-		r.net.After(s.to-s.from, func() {
-			r.say("mended %s %s", a, b)
-			r.net.Mend(a, b)
-			r.net.Mend(b, a)
-		})
-	})
-	some(r.Shortages, func() {
-		g := r.gateways[r.rand.IntN(len(r.gateways))]
-		g.node.Files = max(2, g.node.Open()-r.rand.IntN(10))
-		r.say("%s may hold %d descriptors", g.node.IP, g.node.Files)
-		lasts := time.Duration(r.rand.Int64N(int64(500 * ms)))
-		g.short = append(g.short, span{r.net.Now(), r.net.Now() + lasts})
-		r.net.After(lasts, func() { g.node.Files = 0 })
-	})
+	some(r.Cuts, r.cut)
+	some(r.Shortages, r.runShort)
 	some(r.Changes, r.change)
 	if r.Replaced > 0 {
 		r.at(func() {
@@ -480,6 +452,40 @@
 	}
 }
 
+// cut parts a gateway from a client or a backend for a while.
+func (r *run) cut() {
+	a := r.gateways[r.rand.IntN(len(r.gateways))].node.IP
+	b := r.clients[r.rand.IntN(len(r.clients))].node.IP
+	if r.rand.IntN(3) > 0 {
+		b = r.backends[r.rand.IntN(len(r.backends))].node.IP
+	}
+	ways := 1 + r.rand.IntN(3) // one way, the other, or both
+	s := span{r.net.Now(), r.net.Now() + 10*ms + time.Duration(r.rand.Int64N(int64(600*ms)))}
+	r.cuts[a+b] = append(r.cuts[a+b], s)
+	r.say("cut %s %s, %d", a, b, ways)
+	if ways&1 > 0 {
+		r.net.Cut(a, b)
+	}
+	if ways&2 > 0 {
+		r.net.Cut(b, a)
+	}
+	r.net.After(s.to-s.from, func() {
+		r.say("mended %s %s", a, b)
+		r.net.Mend(a, b)
+		r.net.Mend(b, a)
+	})
+}
+
+// runShort lets a gateway run out of descriptors for a while.
+func (r *run) runShort() {
+	g := r.gateways[r.rand.IntN(len(r.gateways))]
+	g.node.Files = max(2, g.node.Open()-r.rand.IntN(10))
+	r.say("%s may hold %d descriptors", g.node.IP, g.node.Files)
+	lasts := time.Duration(r.rand.Int64N(int64(500 * ms)))
+	g.short = append(g.short, span{r.net.Now(), r.net.Now() + lasts})
+	r.net.After(lasts, func() { g.node.Files = 0 })
+}
+
 // join adds a backend, cold.
 func (r *run) join() {
 	r.revision++
--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -630,29 +630,7 @@
 	}
 	switch e.GetType() {
 	case pb.EntryConfChange, pb.EntryConfChangeV2:
-		var change pb.ConfChangeV2
-		if err := proto.Unmarshal(e.GetData(), &change); err != nil {
-			return fmt.Errorf("replica: entry %d: %w", r.applied, err)
-		}
-		r.conf = r.node.ApplyConfChange(&change)
-		var added map[uint64]string
-		if len(change.GetContext()) > 0 {
-			if err := json.Unmarshal(change.GetContext(), &added); err != nil {
-				return fmt.Errorf("replica: entry %d: %w", r.applied, err)
-			}
-		}
-		for id, address := range added {
-			r.peers[id] = address
-		}
-		if len(r.conf.GetVotersOutgoing()) == 0 {
-			for id := range r.peers {
-				if !slices.Contains(r.conf.GetVoters(), id) {
-					delete(r.peers, id)
-				}
-			}
-		}
-		// One that is new can start only from a snapshot that knows it.
-		return r.compact()
+		return r.applyConfChange(e)
 	}
 	if len(e.GetData()) == 0 {
 		return nil
@@ -716,6 +694,33 @@
 	return nil
 }
 
+// applyConfChange applies a change of the coordinators' set.
+func (r *Replica) applyConfChange(e *pb.Entry) error {
+	var change pb.ConfChangeV2
+	if err := proto.Unmarshal(e.GetData(), &change); err != nil {
+		return fmt.Errorf("replica: entry %d: %w", r.applied, err)
+	}
+	r.conf = r.node.ApplyConfChange(&change)
+	var added map[uint64]string
+	if len(change.GetContext()) > 0 {
+		if err := json.Unmarshal(change.GetContext(), &added); err != nil {
+			return fmt.Errorf("replica: entry %d: %w", r.applied, err)
+		}
+	}
+	for id, address := range added {
+		r.peers[id] = address
+	}
+	if len(r.conf.GetVotersOutgoing()) == 0 {
+		for id := range r.peers {
+			if !slices.Contains(r.conf.GetVoters(), id) {
+				delete(r.peers, id)
+			}
+		}
+	}
+	// One that is new can start only from a snapshot that knows it.
+	return r.compact()
+}
+
 // quiet drops the library's log lines; what they would tell stands in Status. Its
 // panics are kept, as guard needs them.
 type quiet struct{}
