--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -226,8 +226,9 @@
 		} else if ok {
 			s.Snapshot = snap
 		}
-		s.Entries, err = readEntries(entries, s.Snapshot.GetMetadata().GetIndex(), damaged)
-		return err
+		var unreadable error
+		s.Entries, unreadable = readEntries(entries, s.Snapshot.GetMetadata().GetIndex(), damaged)
+		return unreadable
 	})
 	return s, err
 }
