--- a/cmd/wickarch-fleet/main.go
+++ b/cmd/wickarch-fleet/main.go
@@ -205,11 +205,11 @@
 	last := ""
 	for {
 		s, err := f.status()
-		var told *rollout.Told
-		if err != nil && !(errors.As(err, &told) && told.Kind == "NotLeader") && c.For == 0 {
+		var remote *rollout.RemoteError
+		if err != nil && !(errors.As(err, &remote) && remote.Kind == "NotLeader") && c.For == 0 {
 			return err
 		}
-		i := slices.IndexFunc(s.Rollouts, func(r rollout.RolloutStatus) bool { return r.ID == c.ID })
+		i := slices.IndexFunc(s.Rollouts, func(r rollout.Progress) bool { return r.ID == c.ID })
 		if err == nil && i < 0 {
 			return &rollout.Unknown{What: "rollout", Name: c.ID}
 		}
@@ -241,7 +241,7 @@
 }
 
 // words tells how a rollout stands, in lines.
-func words(s rolloutlink.Status, r rollout.RolloutStatus) string {
+func words(s rolloutlink.Status, r rollout.Progress) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s to %s: %s, wave %d of %d, %d of %d members", r.ID, r.Version, r.Phase, r.Wave, r.Waves, r.Done, r.Of)
 	if r.Left > 0 && r.Done < r.Of {
@@ -300,7 +300,9 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%.1f%%\t%s\t%d\n", b.Budget, b.Group, b.Out, most, 100*b.Weight, share, b.Of)
 	}
-	t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
 	for _, r := range s.Rollouts {
 		fmt.Print(words(rolloutlink.Status{}, r))
 	}
@@ -421,9 +423,9 @@
 	if errors.As(err, &s) {
 		return int(s)
 	}
-	t := rollout.Tell(err)
+	t := rollout.ToRemoteError(err)
 	if f.JSON {
-		f.print(map[string]any{"error": t})
+		_ = f.print(map[string]any{"error": t}) // plain strings: always made
 	} else {
 		fmt.Fprintf(os.Stderr, "wickarch-fleet: %s (%s)\nwhat to do: %s\n", t.Text, t.Kind, t.Advice)
 	}
--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -64,20 +64,13 @@
 func fill(dir string, id, count uint64, stored replica.Stored) error {
 	path := filepath.Join(dir, file)
 	half := path + ".new"
-	os.Remove(half)
+	_ = os.Remove(half) // mostly there is none; opening it tells what is wrong
 	db, err := bbolt.Open(half, 0o600, &bbolt.Options{Timeout: time.Second})
 	if err != nil {
 		return &DiskFailed{half, err}
 	}
 	d := &Disk{path: path, db: db, count: count}
-	err = db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{bucketMeta, bucketEntries} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
-		}
-		return put(tx.Bucket(bucketMeta), keyID, binary.BigEndian.AppendUint64(nil, id))
-	})
+	err = db.Update(func(tx *bbolt.Tx) error { return createBuckets(tx, id) })
 	if err == nil {
 		err = d.commit(func(meta, log *bbolt.Bucket) error {
 			return d.keep(meta, log, stored.State, stored.Entries, stored.Snapshot)
@@ -101,13 +94,23 @@
 	return nil
 }
 
+// createBuckets makes the buckets of a new file, and writes whose it is.
+func createBuckets(tx *bbolt.Tx, id uint64) error {
+	for _, name := range [][]byte{bucketMeta, bucketEntries} {
+		if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+			return err
+		}
+	}
+	return put(tx.Bucket(bucketMeta), keyID, binary.BigEndian.AppendUint64(nil, id))
+}
+
 // syncFolder keeps a rename through a loss of power.
 func syncFolder(dir string) error {
 	f, err := os.Open(dir)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // nothing was written through it
 	return f.Sync()
 }
 
@@ -129,8 +132,8 @@
 	if err != nil {
 		return nil, stored, &DiskFailed{dir, err}
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		lock.Close()
+	if err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
 		return nil, stored, &DiskInUse{path, errors.New("another process has it open")}
 	}
 	d := &Disk{path: path, lock: lock}
@@ -143,7 +146,7 @@
 		}
 	}
 	if err != nil {
-		lock.Close()
+		_ = lock.Close()
 		return nil, replica.Stored{}, err
 	}
 	return d, stored, nil
@@ -164,13 +167,14 @@
 		return s, &DamagedDisk{d.path, err.Error()}
 	}
 	s, err = d.load(id)
-	d.db.Close()
+	_ = d.db.Close()
 	return s, err
 }
 
-func (d *Disk) load(id uint64) (s replica.Stored, err error) {
+func (d *Disk) load(id uint64) (replica.Stored, error) {
+	var s replica.Stored
 	damaged := func(format string, args ...any) error { return &DamagedDisk{d.path, fmt.Sprintf(format, args...)} }
-	err = d.db.View(func(tx *bbolt.Tx) error {
+	err := d.db.View(func(tx *bbolt.Tx) error {
 		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
 		if meta == nil || entries == nil {
 			return damaged("a part is missing")
@@ -221,33 +225,42 @@
 		} else if ok {
 			s.Snapshot = snap
 		}
-		last := s.Snapshot.GetMetadata().GetIndex()
-		return entries.ForEach(func(k, v []byte) error {
-			b, err := check(v)
-			if err != nil || len(k) != 8 {
-				return damaged("an entry: %v", err)
-			}
-			e := &pb.Entry{}
-			if err := proto.Unmarshal(b, e); err != nil {
-				return damaged("an entry: %v", err)
-			}
-			if e.GetIndex() != binary.BigEndian.Uint64(k) {
-				return damaged("entry %d stands in the place of another", e.GetIndex())
-			}
-			if e.GetIndex() <= s.Snapshot.GetMetadata().GetIndex() {
-				return nil
-			}
-			if e.GetIndex() != last+1 {
-				return damaged("entry %d follows %d", e.GetIndex(), last)
-			}
-			last = e.GetIndex()
-			s.Entries = append(s.Entries, e)
-			return nil
-		})
+		var unreadable error
+		s.Entries, unreadable = readEntries(entries, s.Snapshot.GetMetadata().GetIndex(), damaged)
+		return unreadable
 	})
 	return s, err
 }
 
+// readEntries reads the log behind the snapshot, which ends at an index.
+func readEntries(bucket *bbolt.Bucket, snapshot uint64, damaged func(string, ...any) error) ([]*pb.Entry, error) {
+	var read []*pb.Entry
+	last := snapshot
+	err := bucket.ForEach(func(k, v []byte) error {
+		b, wrong := check(v)
+		if wrong != nil || len(k) != 8 {
+			return damaged("an entry: %v", wrong)
+		}
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(b, e); err != nil {
+			return damaged("an entry: %v", err)
+		}
+		if e.GetIndex() != binary.BigEndian.Uint64(k) {
+			return damaged("entry %d stands in the place of another", e.GetIndex())
+		}
+		if e.GetIndex() <= snapshot {
+			return nil
+		}
+		if e.GetIndex() != last+1 {
+			return damaged("entry %d follows %d", e.GetIndex(), last)
+		}
+		last = e.GetIndex()
+		read = append(read, e)
+		return nil
+	})
+	return read, err
+}
+
 // Save is that of replica.Disk.
 func (d *Disk) Save(state *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
 	return d.update(func(meta, log *bbolt.Bucket) error { return d.keep(meta, log, state, entries, snapshot) })
@@ -292,7 +305,7 @@
 
 // Close closes the file.
 func (d *Disk) Close() error {
-	defer d.lock.Close()
+	defer func() { _ = d.lock.Close() }()
 	return d.db.Close()
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -53,11 +53,11 @@
 		{Version: 1, Hash: sum(a, b), Set: []distribution.Resource{a, b}, Whole: true},
 		{Version: 2, Hash: sum(a, c), Set: []distribution.Resource{c}, Delete: []distribution.Key{b.Key}, Settled: 1, Before: old},
 	} {
-		if err := s.save(what); err != nil {
+		if err = s.save(what); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, _, err := openStore(dir); !as[*FollowsAlready](err) {
+	if _, _, err = openStore(dir); !as[*FollowsAlready](err) {
 		t.Errorf("a folder that is held is opened: %v", err)
 	}
 	s.close()
@@ -65,7 +65,7 @@
 	if err != nil || kept.Version != 2 || kept.Hash != sum(kept.Resources...) || kept.Hash != sum(a, c) || kept.Settled != 1 || len(kept.Before) != 1 || kept.Resources[0].Line != 3 {
 		t.Fatalf("%+v, %v", kept, err)
 	}
-	if err := s.save(&distribution.Save{Version: 3, Hash: sum(b), Set: []distribution.Resource{b}, Whole: true}); err != nil {
+	if err = s.save(&distribution.Save{Version: 3, Hash: sum(b), Set: []distribution.Resource{b}, Whole: true}); err != nil {
 		t.Fatal(err)
 	}
 	s.close()
@@ -149,7 +149,7 @@
 }
 
 func say(r distribution.Reply) func(http.ResponseWriter, distribution.Poll) {
-	return func(w http.ResponseWriter, _ distribution.Poll) { json.NewEncoder(w).Encode(r) }
+	return func(w http.ResponseWriter, _ distribution.Poll) { _ = json.NewEncoder(w).Encode(r) }
 }
 
 // hold answers nothing until the question is given up.
@@ -157,7 +157,6 @@
 
 // fake is an ingress.
 type fake struct {
-	mu      sync.Mutex
 	refuses string // a key
 	fails   bool
 	in      chan distribution.InUse
@@ -226,7 +225,7 @@
 	second := distribution.Reply{Difference: &distribution.Difference{Base: 5, BaseHash: sum(a), Version: 6, Hash: sum(a, b), Set: []distribution.Resource{b}}, Settled: 5}
 	wrong := distribution.Reply{Difference: &distribution.Difference{Base: 5, BaseHash: sum(a), Version: 6, Hash: sum(b), Set: []distribution.Resource{b}}}
 	old := distribution.Reply{State: &distribution.State{Version: 3, Hash: sum(b), Resources: []distribution.Resource{b}}}
-	s := newScript(t, say(first), func(w http.ResponseWriter, _ distribution.Poll) { fmt.Fprint(w, "{") }, say(old), say(wrong), say(second), hold)
+	s := newScript(t, say(first), func(w http.ResponseWriter, _ distribution.Poll) { _, _ = fmt.Fprint(w, "{") }, say(old), say(wrong), say(second), hold)
 	dir := t.TempDir()
 	in := &fake{in: make(chan distribution.InUse, 100)}
 	stop := follow(t, dir, in, s.URL)
@@ -281,7 +280,7 @@
 	gone.Close()
 	sends := newScript(t, func(w http.ResponseWriter, _ distribution.Poll) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		fmt.Fprintf(w, `{"error":{"kind":"NotLeader","text":"no","remedy":"ask the leader"},"leader":%q}`, strings.TrimPrefix(leader.URL, "http://"))
+		_, _ = fmt.Fprintf(w, `{"error":{"kind":"NotLeader","text":"no","remedy":"ask the leader"},"leader":%q}`, strings.TrimPrefix(leader.URL, "http://"))
 	})
 	in := &fake{in: make(chan distribution.InUse, 100)}
 	follow(t, t.TempDir(), in, hangs.URL, gone.URL, sends.URL, leader.URL)
@@ -294,7 +293,7 @@
 func TestSameFaultIsToldOnce(t *testing.T) {
 	s := newScript(t, func(w http.ResponseWriter, _ distribution.Poll) {
 		w.WriteHeader(http.StatusConflict)
-		fmt.Fprint(w, `{"error":{"kind":"BadPoll","text":"a later one has come under this name","remedy":"give each a name of its own"}}`)
+		_, _ = fmt.Fprint(w, `{"error":{"kind":"BadPoll","text":"a later one has come under this name","remedy":"give each a name of its own"}}`)
 	})
 	var log bytes.Buffer
 	stop := followWith(t, t.TempDir(), &fake{in: make(chan distribution.InUse, 100)}, slog.NewTextHandler(&log, nil), strings.TrimPrefix(s.URL, "http://"))
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -20,8 +20,8 @@
 	"syscall"
 	"time"
 
+	"wickarch/admission"
 	"wickarch/choice"
-	"wickarch/door"
 	"wickarch/internal/config"
 	"wickarch/internal/reactor"
 	"wickarch/internal/wire"
@@ -66,10 +66,12 @@
 
 func (l Limits) clients() int { return max(1, int(clientShare*float64(l.Sockets))) }
 
-// marks are the bounds of the door. Clients hold a third of the descriptors at
+// admissionLimits are the bounds on clients' connections. Clients hold a third of the descriptors at
 // most for requests, and find no connection beyond: past half of that, those at
 // rest go sooner the fewer places are left.
-func (l Limits) marks() door.Marks { return door.Defaults(l.clients(), l.Sockets/usefulPart) }
+func (l Limits) admissionLimits() admission.Limits {
+	return admission.Defaults(l.clients(), l.Sockets/usefulPart)
+}
 
 // admins bounds the connections to the second address, which the shares of
 // clients and backends leave room for.
@@ -170,7 +172,7 @@
 		Zones []string `json:"zones"`
 		Kinds []string `json:"kinds"`
 	}
-	if err := json.Unmarshal(file.Settings, &s); err != nil {
+	if err = json.Unmarshal(file.Settings, &s); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	cfg := Config{
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -72,9 +72,9 @@
 	r := newRig(t, withAdmin, b.member("s-1"), Member{ID: "s-2", HostPort: "127.0.0.1:1", Phase: PhaseDraining})
 	answers, calls := map[string]int{}, 0
 	c := r.dial()
-	see := func(line, class string) {
+	see := func(class string) {
 		t.Helper()
-		if line = c.line(); strings.HasPrefix(line, "$") {
+		if line := c.line(); strings.HasPrefix(line, "$") {
 			answers["success."+class]++
 		} else if strings.HasPrefix(line, "-BUSY") {
 			answers["busy."+class]++
@@ -107,7 +107,7 @@
 		default:
 			got.Answer("yes")
 		}
-		see("", class)
+		see(class)
 	}
 	// One whose client leaves is open no more.
 	gone := r.dial()
@@ -188,7 +188,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	fd, err := syscall.Dup(int(file.Fd())) // the server closes the one that it is given
 	if err != nil {
 		t.Fatal(err)
@@ -266,11 +266,13 @@
 		wait(t, "a command", b.Got).Answer("yes")
 		c.want("$3\r\nyes")
 		r.stop()
-		if err := wait(t, "the end", r.ended); err != nil {
+		if err = wait(t, "the end", r.ended); err != nil {
 			t.Fatal(err)
 		}
 	}
-	held.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	if err = held.(*net.TCPListener).SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Error(err)
+	}
 	c, err := standin.Dial(held.Addr().String(), patience)
 	if err != nil {
 		t.Fatal("the socket is closed: ", err)
@@ -296,8 +298,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { // whoever waits for a connection gets one, and waits for no other
-		raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
-		if c, err := standin.Dial(r.server.Addr(), patience); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+		if c, refused := standin.Dial(r.server.Addr(), patience); refused == nil {
 			c.Close()
 		}
 	})
--- a/internal/ingress/virtual_test.go
+++ b/internal/ingress/virtual_test.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return
 		}
-		nc.Watch(&playedConn{playedBackend: b, conn: nc})
+		_ = nc.Watch(&playedConn{playedBackend: b, conn: nc})
 	}
 }
 
@@ -166,21 +166,13 @@
 }
 
 // say writes on the attempt's connection.
-func (a *playedAttempt) say(text string) { a.conn.Write([]byte(text)) }
+func (a *playedAttempt) say(text string) { _, _ = a.conn.Write([]byte(text)) }
 
 // serve answers with a value.
 func (a *playedAttempt) serve(v string) {
 	a.say(fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(v), v))
 }
 
-// id is the request's.
-func (a *playedAttempt) id() string {
-	if len(a.args) < 3 {
-		return ""
-	}
-	return a.args[2]
-}
-
 // virtualClient is one client's connection.
 type virtualClient struct {
 	*installation
--- a/rollout/replica/replica.go
+++ b/rollout/replica/replica.go
@@ -349,10 +349,10 @@
 		if r.leader == nil {
 			return &rollout.NotLeader{Leader: r.Leads()}
 		}
-		var add []rollout.Entry
-		var err error
-		if reply, add, err = r.leader.Report(r.now, report); err != nil {
-			return err
+		answer, add, refused := r.leader.Report(r.now, report)
+		reply = answer
+		if refused != nil {
+			return refused
 		}
 		r.propose(add)
 		return r.work()
@@ -418,7 +418,7 @@
 	waits := r.catalog.Settled < r.catalog.Version
 	if waits || r.now >= r.nextPublish {
 		for _, e := range r.publisher.Tick(r.now) {
-			r.putProposal(proposal{Config: &e}) // dropped, it is made again
+			_ = r.putProposal(proposal{Config: &e}) // dropped, it is made again
 		}
 		if err := r.work(); err != nil || r.publisher == nil {
 			return err
@@ -631,29 +631,7 @@
 	}
 	switch e.GetType() {
 	case pb.EntryConfChange, pb.EntryConfChangeV2:
-		var change pb.ConfChangeV2
-		if err := proto.Unmarshal(e.GetData(), &change); err != nil {
-			return fmt.Errorf("replica: entry %d: %w", r.applied, err)
-		}
-		r.conf = r.node.ApplyConfChange(&change)
-		var added map[uint64]string
-		if len(change.GetContext()) > 0 {
-			if err := json.Unmarshal(change.GetContext(), &added); err != nil {
-				return fmt.Errorf("replica: entry %d: %w", r.applied, err)
-			}
-		}
-		for id, address := range added {
-			r.peers[id] = address
-		}
-		if len(r.conf.GetVotersOutgoing()) == 0 {
-			for id := range r.peers {
-				if !slices.Contains(r.conf.GetVoters(), id) {
-					delete(r.peers, id)
-				}
-			}
-		}
-		// One that is new can start only from a snapshot that knows it.
-		return r.compact()
+		return r.applyConfChange(e)
 	}
 	if len(e.GetData()) == 0 {
 		return nil
@@ -678,6 +656,33 @@
 	return nil
 }
 
+// applyConfChange applies a change of the coordinators' set.
+func (r *Replica) applyConfChange(e *pb.Entry) error {
+	var change pb.ConfChangeV2
+	if err := proto.Unmarshal(e.GetData(), &change); err != nil {
+		return fmt.Errorf("replica: entry %d: %w", r.applied, err)
+	}
+	r.conf = r.node.ApplyConfChange(&change)
+	var added map[uint64]string
+	if len(change.GetContext()) > 0 {
+		if err := json.Unmarshal(change.GetContext(), &added); err != nil {
+			return fmt.Errorf("replica: entry %d: %w", r.applied, err)
+		}
+	}
+	for id, address := range added {
+		r.peers[id] = address
+	}
+	if len(r.conf.GetVotersOutgoing()) == 0 {
+		for id := range r.peers {
+			if !slices.Contains(r.conf.GetVoters(), id) {
+				delete(r.peers, id)
+			}
+		}
+	}
+	// One that is new can start only from a snapshot that knows it.
+	return r.compact()
+}
+
 func (r *Replica) stepDown(why string) {
 	r.leader, r.publisher, r.leads = nil, nil, false
 	for follower, q := range r.held {
