Draw deployments by seed and hold their price against a policy that sees late

Users report prices of what passes beyond quotas that no fleet of this package shows: its customers, plans and sets are the same on every run, so that gateways which know nothing of a customer are rarer than on those deployments.

Bursts are played by thinning, so that those of customers who ask rarely come as often as stated. Shares moves customers' traffic at once. The late-seeing policy (late.go, the oracle before) plays clients' further tries, counts what it serves and may keep back what it expects to have been asked since. cmd/quotas -deployments N plays such deployments.

--- /dev/null
+++ b/cmd/quotas/deployments.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"time"
+
+	"wickarch/internal/emulate"
+)
+
+// mostExcess is how far the price of what passes beyond quotas may lie above that of the
+// late-seeing policy.
+const mostExcess = 0.1
+
+// presets are the ranges that -ranges names.
+var presets = map[string]func() emulate.DeploymentRanges{
+	"small": emulate.SmallQuotas,
+	"any":   emulate.AnyQuotas,
+	"late":  emulate.LateMeters,
+}
+
+// result is one deployment as played.
+type result struct {
+	seed    uint64
+	figures *emulate.Figures
+	err     error
+	took    time.Duration
+}
+
+// playDeployments plays deployments of count seeds from one on, tells each in a line as
+// soon as all before it are told, and the worst margin at the end.
+func playDeployments(out io.Writer, preset string, from uint64, count, parallel int) error {
+	ranges, ok := presets[preset]
+	if !ok {
+		return fmt.Errorf("-ranges %q: want small, any or late", preset)
+	}
+	results := make([]chan result, count)
+	places := make(chan struct{}, max(parallel, 1))
+	var all sync.WaitGroup
+	defer all.Wait()
+	for i := range results {
+		results[i] = make(chan result, 1)
+	}
+	all.Go(func() {
+		for i := range results {
+			places <- struct{}{}
+			all.Go(func() {
+				results[i] <- play(from+uint64(i), ranges())
+				<-places
+			})
+		}
+	})
+	return tell(out, results)
+}
+
+func play(seed uint64, ranges emulate.DeploymentRanges) result {
+	start := time.Now()
+	f, err := emulate.Run(emulate.DrawDeployment(seed, ranges))
+	return result{seed, f, err, time.Since(start)}
+}
+
+const (
+	header = "seed   price    late  excess  served  (late)     net  refused w. room  known  tries/ask    tries  ceiling  sent/asked    took"
+	line   = "%4d  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %15.3f  %5.2f  %9.2f  %7d  %7d  %10.2f  %6.1fs\n"
+)
+
+// tell prints what comes, and the worst.
+func tell(out io.Writer, results []chan result) error {
+	fmt.Fprintln(out, header)
+	worst, worstSeed, over := math.Inf(1), uint64(0), 0
+	var sums [4]float64
+	for _, each := range results {
+		r := <-each
+		if r.err != nil {
+			return fmt.Errorf("seed %d: %w", r.seed, r.err)
+		}
+		f := r.figures
+		tries := float64(max(f.Tries, 1))
+		fmt.Fprintf(out, line, r.seed, f.OverQuota(), f.OverQuotaLate(), f.Excess(), f.Worth(), f.WorthLate(), f.Net(),
+			float64(f.RefusedWithRoom)/tries, float64(f.Known)/tries, f.TriesPerRequest(), f.Tries, f.CeilingPassed, float64(f.Passed)/tries, r.took.Seconds())
+		if margin := mostExcess - f.Excess(); margin < worst {
+			worst, worstSeed = margin, r.seed
+		}
+		if f.Excess() > mostExcess || f.CeilingPassed > 0 {
+			over++
+		}
+		for i, v := range [...]float64{f.OverQuota(), f.Worth(), f.Net(), float64(f.RefusedWithRoom) / tries} {
+			sums[i] += v / float64(len(results))
+		}
+	}
+	fmt.Fprintf(out, "mean: price %.3f  served %.3f  net %.3f  refused with room %.3f\n", sums[0], sums[1], sums[2], sums[3])
+	fmt.Fprintf(out, "worst margin %.3f at seed %d; %d of %d break a bound\n", worst, worstSeed, over, len(results))
+	return nil
+}
--- a/cmd/quotas/main.go
+++ b/cmd/quotas/main.go
@@ -1,6 +1,8 @@
 // Command quotas plays customers of several kinds against their quotas on emulated
 // fleets of 3, 30 and 300 gateways, and tells, by kind, what is lost by refusing where
-// there was room and by passing beyond the quota, and why tries were refused. It is a
+// there was room and by passing beyond the quota, and why tries were refused. With
+// -deployments it plays deployments drawn by seed, and holds the price of what they pass
+// beyond quotas against that of a policy which sees the true stores late. It is a
 // measurement for docs/design/quota-at-scale.md, and no part of CI.
 package main
 
@@ -95,13 +97,24 @@
 	seeds := flag.Uint64("seeds", 1, "seeds to play")
 	lasts := flag.Duration("for", 30*time.Second, "time of load")
 	lag := flag.Duration("lag", 250*ms, "how late the oracle sees the true stores")
+	count := flag.Int("deployments", 0, "drawn deployments to play, in place of the fleets above")
+	from := flag.Uint64("from", 1, "seed of the first")
+	ranges := flag.String("ranges", "small", "what they are drawn from: small (quotas), any or late (meters)")
+	parallel := flag.Int("parallel", 2, "how many are played at once")
 	flag.Parse()
+	if *count > 0 {
+		if err := playDeployments(os.Stdout, *ranges, *from, *count, *parallel); err != nil {
+			fmt.Fprintln(os.Stderr, "quotas:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
 	for _, n := range []int{3, 30, 300} {
 		for seed := range *seeds {
 			spec := fleet(n, seed+1, *lasts)
-			spec.OracleLag = *lag
+			spec.Late.Lag = *lag
 			f, err := emulate.Run(spec)
 			if err != nil {
 				fmt.Fprintln(os.Stderr, "quotas:", err)
@@ -109,7 +122,7 @@
 			}
 			part := func(a, b int) float64 { return float64(a) / float64(max(b, 1)) }
 			fmt.Fprintf(out, "%d gateways, seed %d\tworth %.3f\trefused with room %.3f\tbeyond %.3f\tcost beyond %.3f\tan oracle's %.3f\tceiling least %.1f\n", n, seed+1,
-				f.Worth(), part(f.RefusedWithRoom, f.Tries), part(f.Beyond, f.Passed), f.BeyondWorth/f.Inside, f.OracleWorth/f.Inside, f.CeilingLeast)
+				f.Worth(), part(f.RefusedWithRoom, f.Tries), part(f.Beyond, f.Passed), f.OverQuota(), f.OverQuotaLate(), f.CeilingLeast)
 			for i, k := range kinds {
 				g := f.Groups[i]
 				fmt.Fprintf(out, "  %s\t%.3f\t%.3f\t%.3f\tof all worth %.3f\ttries %d\n", k.name, g.Served/max(g.Inside, 1e-9),
--- a/internal/emulate/customer.go
+++ b/internal/emulate/customer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -19,6 +20,7 @@
 	Off    time.Duration // mean lengths of bursts and of the time between
 	Think  time.Duration // above 0: each has one client, which asks again so long (mean) after each end, not by Rate
 	Once   bool          // each asks once only: Count*Rate new ones a second
+	Vary   float64       // each one's rate is drawn evenly from Rate times 1-Vary to 1+Vary
 }
 
 // ending is how a try ends for its client.
@@ -46,7 +48,8 @@
 
 	store, ideal bucket // what is left of its quota; and if an oracle passed all that fits
 	ceiling      bucket
-	late         []latePass           // of an oracle that sees the store late; the first is what it sees now
+	late         lateState
+	scale        float64              // of its rate, over that of its group
 	use          [periodsKept]float64 // units sent on, by period of the meter
 	period       int64
 }
@@ -73,6 +76,7 @@
 	until  time.Duration // the client gives this try up
 	first  time.Duration // its first try
 	sent   time.Duration // this try
+	at     int           // the gateway of this try
 	beyond bool          // sent on beyond the quota
 	done   bool
 }
@@ -91,7 +95,7 @@
 				w.after(time.Duration(w.rng.ExpFloat64()*float64(g.Think)), c.ask)
 				continue
 			}
-			w.after(time.Duration(w.rng.ExpFloat64()/max(g.Rate, 1e-9)*float64(time.Second)), func() { c.arrive(false, 0) })
+			c.schedule(false, 0)
 		}
 	}
 }
@@ -102,7 +106,11 @@
 	p := &w.Config.Plans[g.Plan]
 	c.store.level, c.ideal.level, c.ceiling.level = p.Burst, p.Burst, p.CeilingBurst
 	c.store.at, c.ideal.at, c.ceiling.at = w.now, w.now, w.now
-	c.late = []latePass{{c.store, -1}}
+	c.late.passes = []latePass{{c.store, -1}}
+	c.scale = 1
+	if g.Vary > 0 {
+		c.scale += g.Vary * (2*w.rng.Float64() - 1)
+	}
 	c.part(w.rng.Perm(c.spread))
 	if g.Moves > 0 && g.Zipf > 0 {
 		c.move()
@@ -148,30 +156,57 @@
 	})
 }
 
-// arrive asks, and sets the next arrival. Bursts are a two-state modulated
-// Poisson process: on tells the state, until its end.
+// schedule sets the next moment at which the customer may ask. Bursts are a two-state
+// modulated Poisson process, played by thinning (Lewis and Shedler, 1979): moments come at
+// the highest rate, and each is used with the chance of the rate of its time. on tells the
+// state, until its end.
+func (c *customer) schedule(on bool, until time.Duration) {
+	w := c.world
+	gap := w.rng.ExpFloat64() / max(c.peakRate(), 1e-9)
+	w.after(time.Duration(gap*float64(time.Second)), func() { c.arrive(on, until) })
+}
+
+// arrive asks, if the rate of now has it so, and goes on.
 func (c *customer) arrive(on bool, until time.Duration) {
 	w := c.world
 	if w.now >= w.For {
 		return
 	}
-	c.ask()
-	rate := c.group.Rate
-	if c.group.Burst > 0 {
-		for w.now >= until {
-			on = !on
-			span := c.group.Off
-			if on {
-				span = c.group.On
-			}
-			until = max(until, w.now) + time.Duration(w.rng.ExpFloat64()*float64(span))
-		}
+	on, until = c.state(on, until)
+	if chance := c.rate(on) / max(c.peakRate(), 1e-9); chance >= 1 || w.rng.Float64() < chance {
+		c.ask()
+	}
+	c.schedule(on, until)
+}
+
+// state moves the customer's bursts on to now.
+func (c *customer) state(on bool, until time.Duration) (bool, time.Duration) {
+	if c.group.Burst <= 0 {
+		return false, 0
+	}
+	for c.world.now >= until {
+		on = !on && until > 0 // none begins in a burst
+		span := c.group.Off
 		if on {
-			rate *= c.group.Burst
+			span = c.group.On
 		}
+		until += time.Duration(c.world.rng.ExpFloat64()*float64(span)) + 1
+	}
+	return on, until
+}
+
+// rate is how often the customer asks now, a second.
+func (c *customer) rate(on bool) float64 {
+	rate := c.group.Rate * c.scale * c.world.Surge.at(c.world.now)
+	if on {
+		rate *= c.group.Burst
 	}
-	gap := time.Duration(w.rng.ExpFloat64() / max(rate, 1e-9) * float64(time.Second))
-	w.after(gap, func() { c.arrive(on, until) })
+	return rate
+}
+
+// peakRate is the highest rate at which it ever asks.
+func (c *customer) peakRate() float64 {
+	return c.group.Rate * c.scale * max(c.group.Burst, 1) * max(c.world.Surge.By, 1)
 }
 
 // ask is a client's first try.
@@ -197,56 +232,21 @@
 	d.try()
 }
 
-// latePass is the store under an oracle behind a request that it passed, and the gateway at which it did.
-type latePass struct {
-	store bucket
-	by    int
-}
-
-// seenLate has an oracle decide on a request at a gateway: one that sees the true
-// store, of all gateways together, as it was OracleLag ago, and passes what that
-// holds a unit for beside what this gateway has passed since.
-func (c *customer) seenLate(d *demand, gateway int) {
-	w, p := c.world, &c.world.Config.Plans[c.plan]
-	if w.OracleLag <= 0 || p.Rate <= 0 {
-		return
-	}
-	then := w.now - w.OracleLag
-	for len(c.late) > 1 && c.late[1].store.at <= then {
-		c.late = c.late[1:]
-	}
-	seen, now := c.late[0].store, c.late[len(c.late)-1].store
-	seen.fill(max(then, seen.at), p.Rate, p.Burst)
-	for _, l := range c.late[1:] {
-		if l.by == gateway {
-			seen.level--
-		}
-	}
-	if seen.level < 1 {
-		return
-	}
-	if now.fill(w.now, p.Rate, p.Burst); now.level >= 1 {
-		now.level--
-	} else {
-		w.figures.OracleWorth += d.worth * p.OverCost
-	}
-	c.late = append(c.late, latePass{now, gateway})
-}
-
 // try sends a try to one of the customer's gateways.
 func (d *demand) try() {
 	c, w := d.of, d.of.world
 	d.tries++
 	d.sent = w.now
-	d.until = w.now + w.Config.Classes[d.class].Deadline
+	d.until = w.now + w.Clients.patience(w.Config.Classes[d.class].Deadline)
 	w.figures.Tries++
 	c.kind().Tries++
-	i, _ := slices.BinarySearch(c.shares, w.rng.Float64()*c.shares[len(c.shares)-1])
-	i = (c.first + min(i, len(c.shares)-1)) % len(w.gateways)
-	g := w.gateways[i]
+	if d.tries == 1 || !w.chance(w.Clients.Stay) {
+		d.at = c.pick(w.rng)
+	}
 	if d.tries == 1 {
-		c.seenLate(d, i)
+		c.seenLate(d, d.at, 1)
 	}
+	g := w.gateways[d.at]
 	tries := d.tries
 	w.at(d.until, func() { // nothing has come
 		if !d.done && d.tries == tries && d.heard < tries {
@@ -257,6 +257,12 @@
 	w.after(w.between(w.OneWay), func() { g.take(d) })
 }
 
+// pick draws one of the customer's gateways, by their parts.
+func (c *customer) pick(rng *rand.Rand) int {
+	i, _ := slices.BinarySearch(c.shares, rng.Float64()*c.shares[len(c.shares)-1])
+	return (c.first + min(i, len(c.shares)-1)) % len(c.world.gateways)
+}
+
 // answered takes the end of a try at its gateway.
 func (d *demand) answered(e ending, after time.Duration) {
 	w := d.of.world
@@ -298,8 +304,8 @@
 			d.finish()
 			return
 		}
-		wait := w.Wait
-		if after > 0 {
+		wait := w.backoff(d.tries)
+		if after > 0 && !w.chance(w.Clients.Ignore) {
 			wait = after
 		}
 		w.after(wait, d.try)
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -36,13 +36,15 @@
 	WorkSigma float64       // of its logarithm (lognormal); 0: all alike
 	Tries     int           // a client makes at most, at once or as it is advised; 0: 1
 	Wait      time.Duration // before a client's next try, where it has no advice
+	Clients   Clients       // how else clients try again
+	Surge     Surge
 
 	OneWay    [2]time.Duration // of a message, least and most
 	ListDelay [2]time.Duration // from a backend's change to a gateway's list, by gateway
 	Handshake float64          // core-seconds that a new connection costs its backend
 	Idle      time.Duration    // a gateway closes connections idle for so long; 0: 9 s
 	MeterLag  time.Duration    // from the end of a period to its first reading
-	OracleLag time.Duration    // that of the oracle which what passes beyond quotas is held against; 0: none is played
+	Late      LatePolicy       // what passes beyond quotas is held against it
 
 	Whole  bool                             // every gateway uses every backend: no subsets
 	Limit  func(gateway int) choice.Limiter // on attempts out; nil: the gateways' own
@@ -71,11 +73,52 @@
 	Do func(*World)
 }
 
+// Clients is how clients try again. The zero value is one whose clients follow all advice,
+// mark their repeats and come to any gateway of their customer's set.
+type Clients struct {
+	Patience float64 // a try is given up after this part of its class's deadline; 0: 1
+	Doubling bool    // Spec.Wait doubles with each try
+	Ignore   float64 // chance that advice is not followed
+	Stay     float64 // chance that the next try comes to the same gateway
+	Unmarked bool    // repeats are not marked
+}
+
+// patience is how long a client waits for an answer to a try.
+func (c *Clients) patience(deadline time.Duration) time.Duration {
+	if c.Patience <= 0 {
+		return deadline
+	}
+	return time.Duration(c.Patience * float64(deadline))
+}
+
+// backoff is how long a client without advice waits after its try of this number, from 1.
+func (s *Spec) backoff(try int) time.Duration {
+	if s.Clients.Doubling {
+		return s.Wait << (try - 1)
+	}
+	return s.Wait
+}
+
+// Surge is a time in which all customers ask more often. The zero value is none.
+type Surge struct {
+	From, To time.Duration
+	By       float64
+}
+
+// at is the multiple of customers' rates at a time.
+func (s *Surge) at(now time.Duration) float64 {
+	if s.By > 0 && now >= s.From && now < s.To {
+		return s.By
+	}
+	return 1
+}
+
 // World is a run. Its methods are for Events.
 type World struct {
 	Spec
 	now      time.Duration
 	rng      *rand.Rand
+	lateRng  *rand.Rand // of the late-seeing policy's clients, so that it changes nothing of the run
 	queue    queue
 	seq      uint64
 	gateways []*gateway
@@ -87,7 +130,7 @@
 
 // Run plays a spec to its end. Its error tells what in it can't be played.
 func Run(s Spec) (*Figures, error) {
-	w := &World{Spec: s, rng: rand.New(rand.NewPCG(s.Seed, 0xe1))}
+	w := &World{Spec: s, rng: rand.New(rand.NewPCG(s.Seed, 0xe1)), lateRng: rand.New(rand.NewPCG(s.Seed, 0x1a7e))}
 	if err := w.check(); err != nil {
 		return nil, err
 	}
@@ -148,7 +191,7 @@
 // Now is the time of the run.
 func (w *World) Now() time.Duration { return w.now }
 
-// Shares deals the traffic out anew.
+// Shares deals the traffic out anew, that of customers with parts by rank at once.
 func (w *World) Shares(share func(gateway int) float64) {
 	w.shares = w.shares[:0]
 	sum := 0.0
@@ -156,6 +199,11 @@
 		sum += share(i)
 		w.shares = append(w.shares, sum)
 	}
+	for _, c := range w.people {
+		if c.group.Zipf > 0 {
+			c.part(c.ranks)
+		}
+	}
 }
 
 // shareOf is a gateway's share.
@@ -182,6 +230,9 @@
 	return r[0] + time.Duration(w.rng.Float64()*float64(r[1]-r[0]))
 }
 
+// chance tells, by lot, whether something of this chance happens.
+func (w *World) chance(of float64) bool { return of > 0 && w.rng.Float64() < of }
+
 // lognormal draws with a mean of 1.
 func (w *World) lognormal(sigma float64) float64 {
 	if sigma == 0 {
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -162,10 +162,10 @@
 	last := 0.0
 	for _, lag := range []time.Duration{1, 100 * ms, time.Second} {
 		s := bank(1, 30, 20)
-		s.OracleLag = lag
+		s.Late.Lag = lag
 		s.Customers = []Customers{{Count: 20, Plan: 0, Rate: 4.5, Spread: 20}}
 		f := play(t, s)
-		switch cost := f.OracleWorth / f.Inside; {
+		switch cost := f.OverQuotaLate(); {
 		case lag == 1 && cost != 0:
 			t.Errorf("seen at once it costs %.3f", cost)
 		case lag > 1 && cost <= last:
--- a/internal/emulate/figures.go
+++ b/internal/emulate/figures.go
@@ -13,11 +13,13 @@
 // Figures is what a run came to, counted at the models. Worth is that of the
 // classes times the plans' price.
 type Figures struct {
-	Inside      float64 // worth asked that an oracle would serve inside the quotas
-	Served      float64 // worth served in time and inside them; late answers count in part
-	BeyondWorth float64 // what tries sent on beyond the quotas cost
-	OracleWorth float64 // and what they would cost under an oracle that sees each store OracleLag late
+	Inside          float64 // worth asked that an oracle would serve inside the quotas
+	Served          float64 // worth served in time and inside them; late answers count in part
+	BeyondWorth     float64 // what tries sent on beyond the quotas cost
+	BeyondWorthLate float64 // and what they would cost under the late-seeing policy
+	ServedLate      float64 // worth that this policy passes inside the quotas
 
+	Known                                                                 int // tries that met a gateway which had had a reading of their customer
 	Tries, Passed, Beyond, Refused, RefusedWithRoom, Failed, Broken, Lost int
 	Attempts, Crossed, Handshakes, Probes                                 int
 
@@ -99,6 +101,30 @@
 // Worth is the share of the worth asked inside the quotas that was served.
 func (f *Figures) Worth() float64 { return f.Served / f.Inside }
 
+// OverQuota is the price of what was sent on beyond the quotas, over the worth asked inside them.
+func (f *Figures) OverQuota() float64 { return f.BeyondWorth / f.Inside }
+
+// OverQuotaLate is that of the late-seeing policy on the same arrivals.
+func (f *Figures) OverQuotaLate() float64 { return f.BeyondWorthLate / f.Inside }
+
+// Excess is how far OverQuota lies above that of the late-seeing policy.
+func (f *Figures) Excess() float64 { return f.OverQuota() - f.OverQuotaLate() }
+
+// Net is the worth served less the price of what passed beyond the quotas.
+func (f *Figures) Net() float64 { return f.Worth() - f.OverQuota() }
+
+// WorthLate is the share of the worth asked inside the quotas that the late-seeing policy passes.
+func (f *Figures) WorthLate() float64 { return f.ServedLate / f.Inside }
+
+// TriesPerRequest is how often a client tries, on average.
+func (f *Figures) TriesPerRequest() float64 {
+	asked := 0
+	for _, c := range f.Classes {
+		asked += c.Asked
+	}
+	return float64(f.Tries) / float64(max(asked, 1))
+}
+
 // Spread is the load of the most loaded of some backends over the mean one.
 func (f *Figures) Spread(of func(backend int) bool) float64 {
 	most, sum, n := 0.0, 0.0, 0
--- a/internal/emulate/gateway.go
+++ b/internal/emulate/gateway.go
@@ -24,6 +24,7 @@
 	out      int
 	vain     []time.Duration // the tries turned away since the last attempt
 	shut     bool            // at any time: of Figures.Shut
+	read     map[uint64]bool // customers of whom it has had a reading
 }
 
 // link is a gateway's connections to one backend.
@@ -58,6 +59,7 @@
 	g.up = true
 	g.life++
 	g.requests, g.links, g.out, g.vain = map[uint32]*try{}, map[uint32]*link{}, 0, nil
+	g.read = map[uint64]bool{}
 	cfg := w.Config
 	cfg.Self, cfg.Zone = n, w.Spec.Gateways[n].Zone
 	if w.Limit != nil {
@@ -135,8 +137,11 @@
 	g.lastID++
 	t := &try{request: d, id: g.lastID}
 	g.requests[t.id] = t
+	if g.read[d.of.id] {
+		w.figures.Known++
+	}
 	g.decide.Request(w.now, choice.Request{ID: t.id, Class: d.class, Plan: d.of.plan, Customer: d.of.id, TimeLeft: d.until - w.now - answerMargin,
-		Units: 1, Spread: d.of.spread, First: d.of.first, Repeat: d.tries > 1})
+		Units: 1, Spread: d.of.spread, First: d.of.first, Repeat: d.tries > 1 && !w.Clients.Unmarked})
 	if !w.Whole {
 		g.fleet.Step(w.now)
 	}
@@ -246,6 +251,9 @@
 		t.over = true
 		t.request.answered(served, 0)
 	}
+	if metered {
+		g.read[t.request.of.id] = true
+	}
 	g.fleet.Ended()
 	g.decide.Outcome(w.now, choice.Outcome{ID: t.id, Attempt: a.num, Backend: a.to.id, Status: status, Elapsed: w.now - a.sent,
 		Over: t.over, Metered: metered, Used: used})
