--- a/cmd/quotas/deployments.go
+++ b/cmd/quotas/deployments.go
@@ -62,8 +62,8 @@
 }
 
 const (
-	header = "seed   price    late  excess  served  (late)     net  refused w. room  known  tries/ask    tries  ceiling  sent/asked    took"
-	line   = "%4d  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %15.3f  %5.2f  %9.2f  %7d  %7d  %10.2f  %6.1fs\n"
+	header = "seed   price    late  excess  served  (late)     net  refused w. room  known  tries/ask    tries  ceiling  sent/asked  asked beyond    took"
+	line   = "%4d  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %15.3f  %5.2f  %9.2f  %7d  %7d  %10.2f  %12.2f  %6.1fs\n"
 )
 
 // tell prints what comes, and the worst.
@@ -79,7 +79,7 @@
 		f := r.figures
 		tries := float64(max(f.Tries, 1))
 		fmt.Fprintf(out, line, r.seed, f.OverQuota(), f.OverQuotaLate(), f.Excess(), f.Worth(), f.WorthLate(), f.Net(),
-			float64(f.RefusedWithRoom)/tries, float64(f.Known)/tries, f.TriesPerRequest(), f.Tries, f.CeilingPassed, float64(f.Passed)/tries, r.took.Seconds())
+			float64(f.RefusedWithRoom)/tries, float64(f.Known)/tries, f.TriesPerRequest(), f.Tries, f.CeilingPassed, float64(f.Passed)/tries, f.AskedBeyond(), r.took.Seconds())
 		if margin := mostExcess - f.Excess(); margin < worst {
 			worst, worstSeed = margin, r.seed
 		}
--- a/internal/emulate/customer.go
+++ b/internal/emulate/customer.go
@@ -228,6 +228,7 @@
 		w.second(w.now).Inside += d.worth
 		c.kind().Inside += d.worth
 		f.Inside += d.worth
+		f.AskedInside++
 	}
 	d.try()
 }
--- a/internal/emulate/deployment.go
+++ b/internal/emulate/deployment.go
@@ -52,6 +52,7 @@
 	// are neither full, heavy nor spiky are calm.
 	CalmUse, Full, Heavy, HeavyMultiple, Spiky, SpikeMultiple Range
 	SpikeSeconds, SpikeEvery                                  Range
+	HeavyPart                                                 Range // of the day in which heavy customers ask so much
 
 	Skew  Range // Zipf exponent of the parts of a customer's gateways
 	Shift Range // time after which another gateway has the largest part
@@ -94,7 +95,7 @@
 				Ceiling: Range{1.7, 2.3}, WithCeiling: 1},
 			{Load: Range{0.33, 0.49}, Rate: Range{3.5, 6}, BurstSeconds: Range{1.2, 2.8}, Price: Range{1.6, 1.6}, OverCost: Range{1, 1}, Spread: Range{0.5, 1}},
 		},
-		CalmUse: Range{0.16, 0.48}, Full: Range{0.08, 0.25}, Heavy: Range{0.08, 0.13}, HeavyMultiple: Range{2.1, 4.7},
+		CalmUse: Range{0.16, 0.48}, Full: Range{0.08, 0.25}, Heavy: Range{0.08, 0.13}, HeavyMultiple: Range{2.1, 4.7}, HeavyPart: Range{0.5, 0.9},
 		Spiky: Range{0.11, 0.23}, SpikeMultiple: Range{2.8, 6.5}, SpikeSeconds: Range{1.1, 3.6}, SpikeEvery: Range{14, 22},
 		Skew: Range{0.3, 1.2}, Shift: Range{10, 21},
 		Work: Range{0.12, 0.21}, Aim: Range{1.5, 1.5}, Deadline: Range{6, 6},
@@ -198,28 +199,44 @@
 
 // habits are the kinds of customers of a deployment.
 type habits struct {
-	calmUse, full, heavy, heavyMultiple, spiky, spikeMultiple float64
-	spikeFor, spikeEvery                                      time.Duration
-	skew                                                      float64
-	shift                                                     time.Duration
+	calmUse, full, heavy, heavyMultiple, heavyPart, spiky, spikeMultiple float64
+	spikeFor, spikeEvery, day                                            time.Duration
+	skew                                                                 float64
+	shift                                                                time.Duration
 }
 
 func (r *DeploymentRanges) drawHabits(rng *rand.Rand) habits {
-	h := habits{
-		calmUse: r.CalmUse.draw(rng), full: r.Full.draw(rng), heavy: r.Heavy.draw(rng), heavyMultiple: r.HeavyMultiple.draw(rng),
+	return habits{
+		calmUse: r.CalmUse.draw(rng), full: r.Full.draw(rng), heavy: r.Heavy.draw(rng), heavyMultiple: r.HeavyMultiple.draw(rng), heavyPart: r.HeavyPart.draw(rng),
 		spiky: r.Spiky.draw(rng), spikeMultiple: r.SpikeMultiple.draw(rng),
-		spikeFor: r.SpikeSeconds.drawDuration(rng), spikeEvery: r.SpikeEvery.drawDuration(rng),
+		spikeFor: r.SpikeSeconds.drawDuration(rng), spikeEvery: r.SpikeEvery.drawDuration(rng), day: r.For,
 		skew: r.Skew.draw(rng), shift: r.Shift.drawDuration(rng),
 	}
-	h.heavyMultiple = min(h.heavyMultiple, 1+mostExcess*h.meanUse()/h.heavy)
-	return h
 }
 
-// meanUse is what a customer asks inside its quota on average, in its rate.
-func (h *habits) meanUse() float64 {
-	spiking := h.spikeFor.Seconds() / h.spikeEvery.Seconds()
-	spikyUse := min(1, h.calmUse*(1-spiking)+h.spikeMultiple*spiking)
-	return h.calmUse*(1-h.full-h.heavy-h.spiky) + fullUse*h.full + h.heavy + spikyUse*h.spiky
+// spikes is what a spiky customer of a plan asks in its spikes, inside its quota and beyond, on
+// average over all of the day and in its rate.
+func (h *habits) spikes(p *choice.Plan) (inside, beyond float64) {
+	asked := h.spikeMultiple * h.spikeFor.Seconds()
+	holds := p.Burst/p.Rate + h.spikeFor.Seconds()
+	inside, beyond = min(asked, holds), max(0, asked-holds)
+	return inside / h.spikeEvery.Seconds(), beyond / h.spikeEvery.Seconds()
+}
+
+// meanUse is what a customer of a plan asks inside its quota on average, in its rate.
+func (h *habits) meanUse(p *choice.Plan) float64 {
+	inSpikes, _ := h.spikes(p)
+	between := h.calmUse * (1 - h.spikeFor.Seconds()/h.spikeEvery.Seconds())
+	return h.calmUse*(1-h.full-h.heavy-h.spiky) + fullUse*h.full +
+		(h.heavyPart+h.calmUse*(1-h.heavyPart))*h.heavy + (between+inSpikes)*h.spiky
+}
+
+// heavyUse is what a heavy customer of a plan asks, in its rate: no more than keeps what all ask
+// beyond their quotas within mostExcess.
+func (h *habits) heavyUse(p *choice.Plan) float64 {
+	_, beyond := h.spikes(p)
+	room := mostExcess*h.meanUse(p) - beyond*h.spiky
+	return min(h.heavyMultiple, 1+max(0, room)/(h.heavy*h.heavyPart))
 }
 
 // drawCustomers draws the customers of all plans, so many that they ask for inside requests a second
@@ -232,8 +249,8 @@
 		sum += loads[i]
 	}
 	for i, p := range s.Config.Plans {
-		count := inside * loads[i] / sum / (p.Rate * h.meanUse())
-		for _, group := range h.groups(p.Rate, count) {
+		count := inside * loads[i] / sum / (p.Rate * h.meanUse(&p))
+		for _, group := range h.groups(&p, count) {
 			group.Plan = i
 			group.Spread = spreadOf(&p, r.Plans[i].Spread.draw(rng), r.Gateways)
 			s.Customers = append(s.Customers, group)
@@ -241,17 +258,21 @@
 	}
 }
 
-// groups are so many customers of a plan with this rate.
-func (h *habits) groups(rate, count float64) []Customers {
+// groups are so many customers of a plan.
+func (h *habits) groups(p *choice.Plan, count float64) []Customers {
 	group := func(share, use, vary float64) Customers {
-		return Customers{Count: max(1, int(share*count+0.5)), Rate: use * rate, Vary: vary, Zipf: h.skew, Moves: h.shift}
+		return Customers{Count: max(1, int(share*count+0.5)), Rate: use * p.Rate, Vary: vary, Zipf: h.skew, Moves: h.shift}
 	}
 	spiky := group(h.spiky, h.calmUse, calmVary)
 	spiky.Burst, spiky.On, spiky.Off = h.spikeMultiple/h.calmUse, h.spikeFor, h.spikeEvery-h.spikeFor
+	heavy := group(h.heavy, h.calmUse, calmVary)
+	heavy.Burst = h.heavyUse(p) / h.calmUse
+	heavy.On = time.Duration(h.heavyPart * float64(h.day))
+	heavy.Off = h.day - heavy.On
 	return []Customers{
 		group(1-h.full-h.heavy-h.spiky, h.calmUse, calmVary),
 		group(h.full, fullUse, fullVary),
-		group(h.heavy, h.heavyMultiple, calmVary),
+		heavy,
 		spiky,
 	}
 }
--- a/internal/emulate/figures.go
+++ b/internal/emulate/figures.go
@@ -50,8 +50,8 @@
 
 // ClassFigures are those of one class.
 type ClassFigures struct {
-	Asked, Served int
-	Inside, Worth float64
+	Asked, AskedInside, Served int
+	Inside, Worth              float64
 }
 
 // GroupFigures are those of one group of customers.
@@ -116,6 +116,15 @@
 // WorthLate is the share of the worth asked inside the quotas that the late-seeing policy passes.
 func (f *Figures) WorthLate() float64 { return f.ServedLate / f.Inside }
 
+// AskedBeyond is what clients asked first beyond the quotas, over what they asked inside them.
+func (f *Figures) AskedBeyond() float64 {
+	asked, inside := 0, 0
+	for _, c := range f.Classes {
+		asked, inside = asked+c.Asked, inside+c.AskedInside
+	}
+	return float64(asked-inside) / float64(max(inside, 1))
+}
+
 // TriesPerRequest is how often a client tries, on average.
 func (f *Figures) TriesPerRequest() float64 {
 	asked := 0
