Begin runs of the emulator with as many customers in a burst as at any other time

With none in a burst at first, a run of 25 s held a quarter fewer spikes than its ranges state. cmd/quotas -deployments also tells why tries were refused, and its summary is tested.

--- a/cmd/quotas/deployments.go
+++ b/cmd/quotas/deployments.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"wickarch/choice"
 	"wickarch/internal/emulate"
 )
 
@@ -71,6 +72,7 @@
 	fmt.Fprintln(out, header)
 	worst, worstSeed, over := math.Inf(1), uint64(0), 0
 	var sums [4]float64
+	causes := map[choice.Cause]float64{}
 	for _, each := range results {
 		r := <-each
 		if r.err != nil {
@@ -89,8 +91,16 @@
 		for i, v := range [...]float64{f.OverQuota(), f.Worth(), f.Net(), float64(f.RefusedWithRoom) / tries} {
 			sums[i] += v / float64(len(results))
 		}
+		for cause, refusals := range f.Causes {
+			causes[cause] += float64(refusals) / tries / float64(len(results))
+		}
 	}
 	fmt.Fprintf(out, "mean: price %.3f  served %.3f  net %.3f  refused with room %.3f\n", sums[0], sums[1], sums[2], sums[3])
+	fmt.Fprint(out, "refused for")
+	for _, cause := range choice.Causes() {
+		fmt.Fprintf(out, "  %s %.3f", cause, causes[cause])
+	}
+	fmt.Fprintln(out)
 	fmt.Fprintf(out, "worst margin %.3f at seed %d; %d of %d break a bound\n", worst, worstSeed, over, len(results))
 	return nil
 }
--- /dev/null
+++ b/cmd/quotas/deployments_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"wickarch/internal/emulate"
+)
+
+// told is what tell prints of these results.
+func told(results ...result) (string, error) {
+	var out strings.Builder
+	ready := make([]chan result, len(results))
+	for i, r := range results {
+		ready[i] = make(chan result, 1)
+		ready[i] <- r
+	}
+	err := tell(&out, ready)
+	return out.String(), err
+}
+
+func TestWorstMarginIsTold(t *testing.T) {
+	out, err := told(
+		result{seed: 4, figures: &emulate.Figures{Inside: 100, Served: 90, BeyondWorth: 12, BeyondWorthLate: 3, Tries: 10}},
+		result{seed: 5, figures: &emulate.Figures{Inside: 100, Served: 80, BeyondWorth: 18, BeyondWorthLate: 2, Tries: 10}},
+		result{seed: 6, figures: &emulate.Figures{Inside: 100, Served: 70, CeilingPassed: 1, Tries: 10}},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"price 0.100  served 0.800  net 0.700",
+		"worst margin -0.060 at seed 5; 2 of 3 break a bound",
+	} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not in\n%s", want, out)
+		}
+	}
+}
+
+func TestWhatCannotBePlayedIsTold(t *testing.T) {
+	if _, err := told(result{seed: 7, err: errors.New("no gateways")}); err == nil || !strings.Contains(err.Error(), "seed 7") {
+		t.Errorf("the error is %v", err)
+	}
+	if err := playDeployments(&strings.Builder{}, "none", 1, 1, 1); err == nil {
+		t.Error("unknown ranges are played")
+	}
+}
--- a/internal/emulate/customer.go
+++ b/internal/emulate/customer.go
@@ -179,18 +179,22 @@
 	c.schedule(on, until)
 }
 
-// state moves the customer's bursts on to now.
+// state moves the customer's bursts on to now. A run begins in a burst as often as one is on at
+// any other time.
 func (c *customer) state(on bool, until time.Duration) (bool, time.Duration) {
-	if c.group.Burst <= 0 {
+	g, w := c.group, c.world
+	if g.Burst <= 0 {
 		return false, 0
 	}
-	for c.world.now >= until {
-		on = !on && until > 0 // none begins in a burst
-		span := c.group.Off
+	for w.now >= until {
+		if on = !on; until == 0 {
+			on = w.chance(float64(g.On) / float64(g.On+g.Off))
+		}
+		span := g.Off
 		if on {
-			span = c.group.On
+			span = g.On
 		}
-		until += time.Duration(c.world.rng.ExpFloat64()*float64(span)) + 1
+		until += time.Duration(w.rng.ExpFloat64()*float64(span)) + 1
 	}
 	return on, until
 }
