--- a/internal/emulate/figures.go
+++ b/internal/emulate/figures.go
@@ -19,7 +19,7 @@
 	BeyondWorthLate float64 // and what they would cost under the late-seeing policy
 	ServedLate      float64 // worth that this policy passes inside the quotas
 
-	Known                                                                 int // tries that met a gateway which had had a reading of their customer
+	Known                                                                 int // tries at gateways that held a reading of their customer already
 	Tries, Passed, Beyond, Refused, RefusedWithRoom, Failed, Broken, Lost int
 	Attempts, Crossed, Handshakes, Probes                                 int
 
