Tell operators how many readings were set aside

Need: a reading that cannot be is ignored and counted; the count stands behind the refusals in GET /status/backends. Test: TestBackendsAreTold.

--- a/internal/ingress/figures.go
+++ b/internal/ingress/figures.go
@@ -89,5 +89,5 @@
 	for _, c := range choice.Causes() {
 		b = fmt.Appendf(b, " %s=%d", c, l.gateway.Refusals(c))
 	}
-	return append(b, '\n')
+	return fmt.Appendf(b, "\nreadings misread=%d\n", l.gateway.Misread())
 }
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -61,7 +61,8 @@
 	status, text := r.adminCall("GET", "/status/backends")
 	if want := "s-1 state=used part=1.00 warmth=1.00 latency=1.00 failures=0.00 out=0\n" +
 		"limit room=14.5 prior=7.2 out=0 latency=0.00\n" +
-		"refused pressure=0 ceiling=0 open=0 doubt=0 chance=0 backends=0\n"; status != 200 || text != want {
+		"refused pressure=0 ceiling=0 open=0 doubt=0 chance=0 backends=0\n" +
+		"readings misread=0\n"; status != 200 || text != want {
 		t.Errorf("%d, %q, want %q", status, text, want)
 	}
 }
