Handle the errors and rename the shadowed variables in the bench commands

Change: an error that matters is returned or printed: a guard that cmd/bench/mutants can't put back, a holder whose starter has gone, a flush of limits' table, an ingress of capacity or a figures server of rollouts that ends. The others are discarded with a reason each. Variables that shadowed an outer err are renamed or are that err.

--- a/cmd/bench/capacity/change.go
+++ b/cmd/bench/capacity/change.go
@@ -46,31 +46,31 @@
 	t := table.NewWriter()
 	t.AppendHeader(table.Row{"state", "ceiling in the file, units a second", "served of 1600 in 4 s", "refused"})
 	add := func(state string, rate int, addr string) error {
-		s, r, err := flood(addr)
-		t.AppendRow(table.Row{state, rate, s, r})
-		return err
+		served, refused, floodErr := flood(addr)
+		t.AppendRow(table.Row{state, rate, served, refused})
+		return floodErr
 	}
-	if err := add("started", 20, p.Addr); err != nil {
+	if err = add("started", 20, p.Addr); err != nil {
 		return err
 	}
 	node.Settings = settings(0, 1, plan{1000, 1000, 200})
-	if _, err := node.Write(dir); err != nil {
+	if _, err = node.Write(dir); err != nil {
 		return err
 	}
-	if err := p.Cmd.Process.Signal(syscall.SIGHUP); err != nil {
+	if err = p.Cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
-	if err := add("SIGHUP", 200, p.Addr); err != nil {
+	if err = add("SIGHUP", 200, p.Addr); err != nil {
 		return err
 	}
-	if err := p.Stop(10 * time.Second); err != nil {
+	if err = p.Stop(10 * time.Second); err != nil {
 		return err
 	}
 	if p, err = startIngress(ctx, node, c.Bin, dir); err != nil {
 		return err
 	}
-	if err := add("restarted", 200, p.Addr); err != nil {
+	if err = add("restarted", 200, p.Addr); err != nil {
 		return err
 	}
 	fmt.Println(t.RenderMarkdown())
--- a/cmd/bench/capacity/coordinators.go
+++ b/cmd/bench/capacity/coordinators.go
@@ -87,7 +87,7 @@
 		cmd.Stdout, cmd.Stderr = log, log
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		err = cmd.Start()
-		log.Close()
+		_ = log.Close() // the coordinator has a descriptor of its own
 		if err != nil {
 			return c, err
 		}
@@ -99,7 +99,7 @@
 func (c *coordinators) stop() {
 	for _, cmd := range c.cmds {
 		cmd.Process.Kill()
-		cmd.Wait()
+		_ = cmd.Wait() // returns only that it was killed
 	}
 	os.RemoveAll(c.dir)
 }
@@ -204,7 +204,6 @@
 			}()
 		}
 	}
-	figures := rollout.Figures{Boot: 1, Classes: map[string]rollout.Count{"lookup": {}, "payment": {}}}
 	for {
 		due := time.NewTimer(d.Next() - now())
 		select {
@@ -215,7 +214,7 @@
 			f()
 		case <-due.C:
 			n := uint64(now() / time.Millisecond) // about what an ingress of the fleet serves
-			figures = rollout.Figures{Boot: 1, Classes: map[string]rollout.Count{"lookup": {Served: n / 9, Refused: n / 900}, "payment": {Served: n / 80}}, Open: now().Seconds()}
+			figures := rollout.Figures{Boot: 1, Classes: map[string]rollout.Count{"lookup": {Served: n / 9, Refused: n / 900}, "payment": {Served: n / 80}}, Open: now().Seconds()}
 			do(d.Ready(now(), true, figures))
 			do(d.Tick(now()))
 		}
@@ -247,10 +246,10 @@
 	joined := 0.0
 	for time.Since(began) < 30*time.Second {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		st, err := c.status(ctx, client)
+		status, statusErr := c.status(ctx, client)
 		cancel()
-		if err == nil {
-			s, in = st, 0
+		if statusErr == nil {
+			s, in = status, 0
 			for _, m := range s.Members {
 				if m.Out == "" {
 					in++
--- a/cmd/bench/capacity/crowd.go
+++ b/cmd/bench/capacity/crowd.go
@@ -55,7 +55,7 @@
 	var running []*standin.Process
 	var past time.Duration // CPU of those that have ended
 	m := &many{count: n}
-	end := func() (err error) {
+	end := func() {
 		for _, p := range running {
 			if u, err := p.Usage(); err == nil {
 				past += u.CPU
@@ -63,7 +63,6 @@
 			p.Cmd.Process.Kill()
 		}
 		running = nil
-		return err
 	}
 	m.restart = func() error {
 		end()
--- a/cmd/bench/capacity/discovery.go
+++ b/cmd/bench/capacity/discovery.go
@@ -159,7 +159,7 @@
 	query := r.URL.Query()
 	if query.Get("stream") == "" {
 		b, _, whole, _ := d.from(-1)
-		d.tell(w, b, whole)
+		_ = d.tell(w, b, whole) // a client that has gone is not counted
 		return
 	}
 	d.Watches.Add(1)
--- a/cmd/bench/capacity/ingress.go
+++ b/cmd/bench/capacity/ingress.go
@@ -144,7 +144,11 @@
 			cancel()
 			return nil, err
 		}
-		all.Go(func() { s.Serve(ctx) })
+		all.Go(func() {
+			if err := s.Serve(ctx); err != nil {
+				fmt.Fprintln(os.Stderr, "capacity: an ingress ended:", err)
+			}
+		})
 	}
 	return func() { cancel(); all.Wait() }, nil
 }
@@ -201,8 +205,8 @@
 func (c *child) usage() (standin.Usage, error) { return standin.UsageOf(c.cmd.Process.Pid) }
 
 func (c *child) stop() {
-	c.in.Close()
+	_ = c.in.Close() // tells the child to end; one that has ended needs no telling
 	end := time.AfterFunc(10*time.Second, func() { c.cmd.Process.Kill() })
 	defer end.Stop()
-	c.cmd.Wait()
+	_ = c.cmd.Wait() // what it measured has been read
 }
--- a/cmd/bench/capacity/latency.go
+++ b/cmd/bench/capacity/latency.go
@@ -127,7 +127,7 @@
 func (l *latencies) add(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.h.RecordValue(d.Microseconds())
+	_ = l.h.RecordValue(d.Microseconds()) // fails for what is beyond the range alone, which is left out
 }
 
 // at is a percentile, in ms.
--- a/cmd/bench/capacity/scale_test.go
+++ b/cmd/bench/capacity/scale_test.go
@@ -61,7 +61,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		all.Go(func() { s.Serve(ctx) })
+		all.Go(func() {
+			if err := s.Serve(ctx); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 	g.wait("each watches", func(c tally) bool { return c.Watches >= g.n && c.Lists+c.Objects >= 2*g.n })
 	return g
--- a/cmd/bench/capacity/sweeps.go
+++ b/cmd/bench/capacity/sweeps.go
@@ -8,9 +8,6 @@
 	"wickarch/internal/standin"
 )
 
-// budget is what control may take of an ingress.
-var budget = struct{ CPU, Memory, Bytes float64 }{32, 32e6, 14e3} // ms a second, bytes, bytes a second
-
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func mb(n int64) float64 { return float64(n) / 1e6 }
@@ -49,7 +46,7 @@
 		return nil, err
 	}
 	after := time.Since(begun)
-	if err := until(5*time.Second, "it watches", func() bool { return d.Watches.Load() > 0 }); err != nil {
+	if err = until(5*time.Second, "it watches", func() bool { return d.Watches.Load() > 0 }); err != nil {
 		return nil, err
 	}
 	time.Sleep(300 * time.Millisecond) // what the start leaves to be done
@@ -110,7 +107,7 @@
 		return nil, err
 	}
 	l := &load{Addr: p.Addr, Conns: 16, PerSecond: 4000, Customer: func(n int64) uint64 { return 1 + uint64(n%int64(size)) }}
-	if err := l.Run(ctx, int64(max(size, 8000))); err != nil {
+	if err = l.Run(ctx, int64(max(size, 8000))); err != nil {
 		return nil, err
 	}
 	usage, cpu, err := r.atRest(p)
@@ -199,7 +196,7 @@
 	}
 	t0 := d.Tally()
 	l := manyTenants(p.Addr, float64(size))
-	if err := l.Run(ctx, int64(r.Rest.Seconds()*float64(size))); err != nil {
+	if err = l.Run(ctx, int64(r.Rest.Seconds()*float64(size))); err != nil {
 		return nil, err
 	}
 	u1, err := p.Usage()
@@ -257,7 +254,7 @@
 	h := newLatencies()
 	l := manyTenants(p.Addr, perSecond)
 	l.Done = h.add
-	if err := l.Run(ctx, int64(span.Seconds()*perSecond)); err != nil {
+	if err = l.Run(ctx, int64(span.Seconds()*perSecond)); err != nil {
 		return nil, err
 	}
 	<-done
@@ -294,15 +291,15 @@
 		}
 	}()
 	for range size {
-		c, err := standin.Dial(p.Addr, time.Minute)
-		if err != nil {
-			return nil, err
+		c, dialErr := standin.Dial(p.Addr, time.Minute)
+		if dialErr != nil {
+			return nil, dialErr
 		}
 		list = append(list, c)
-		if err := c.Send("PING"); err != nil {
+		if err = c.Send("PING"); err != nil {
 			return nil, err
 		}
-		if _, err := c.Line(); err != nil {
+		if _, err = c.Line(); err != nil {
 			return nil, err
 		}
 	}
--- a/cmd/bench/followers/main.go
+++ b/cmd/bench/followers/main.go
@@ -150,7 +150,7 @@
 		}
 		if set.Sum() == c.Hash {
 			version = c.Version
-			h.Configure(&distribution.InUse{Version: version})
+			_ = h.Configure(&distribution.InUse{Version: version}) // a hollow follower takes any
 		}
 	}
 }
@@ -219,7 +219,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	if err := fleetproc.Build(dir); err != nil {
+	if err = fleetproc.Build(dir); err != nil {
 		return err
 	}
 	control, err := fleetproc.StartCoordinators(fleetproc.Config{Dir: dir, Bin: dir, Coordinators: 3, Report: time.Second,
@@ -326,9 +326,9 @@
 	for n := range changes {
 		time.Sleep(time.Until(begun.Add(span * time.Duration(n) / time.Duration(changes))))
 		r := routes[n%len(routes)]
-		route, err := r.Route()
-		if err != nil {
-			return err
+		route, routeErr := r.Route()
+		if routeErr != nil {
+			return routeErr
 		}
 		route.Class, route.Percent = "", 1+n%100
 		if r.Data, err = distribution.Encode(route); err != nil {
@@ -339,9 +339,9 @@
 		if version, err = f.push(distribution.Push{Base: version, Set: []distribution.Resource{r}, Hash: set.Sum()}); err != nil {
 			return err
 		}
-		last, err := f.await(version, f.Followers, time.Minute)
-		if err != nil {
-			return err
+		last, awaitErr := f.await(version, f.Followers, time.Minute)
+		if awaitErr != nil {
+			return awaitErr
 		}
 		took = append(took, last.Sub(pushed))
 	}
@@ -393,7 +393,7 @@
 	registry := standin.NewRegistry()
 	stop = func() {
 		for _, p := range append(follow, plain...) {
-			p.Stop(10 * time.Second)
+			_ = p.Stop(10 * time.Second) // what it measured has been read
 		}
 		registry.Stop()
 		cancel()
@@ -438,7 +438,7 @@
 	zone := f.hollows[:min(f.Crowd, len(f.hollows))]
 	for _, h := range zone {
 		h.stop()
-		if err := os.RemoveAll(h.folder()); err != nil {
+		if err = os.RemoveAll(h.folder()); err != nil {
 			return err
 		}
 	}
--- a/cmd/bench/idle/main.go
+++ b/cmd/bench/idle/main.go
@@ -172,8 +172,7 @@
 	h.cmd.Stdin, h.cmd.Stdout, h.cmd.Stderr = inR, outW, os.Stderr
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	err = h.cmd.Start()
-	inR.Close()
-	outW.Close()
+	_, _ = inR.Close(), outW.Close() // the holder has descriptors of its own
 	if err != nil {
 		return nil, err
 	}
@@ -196,9 +195,9 @@
 }
 
 func (h *holder) end() {
-	h.in.Close()
-	h.cmd.Wait()
-	h.out.Close()
+	_ = h.in.Close()  // tells it to end; one that has ended needs no telling
+	_ = h.cmd.Wait()  // what it measured has been read
+	_ = h.out.Close() // only read from
 }
 
 // holdAll is the holder's side.
@@ -242,7 +241,9 @@
 	if err := open(); err != nil {
 		return err
 	}
-	os.Stdout.Write([]byte{'.'})
+	if err := tellDone(); err != nil {
+		return err
+	}
 	var b [1]byte
 	for {
 		if _, err := os.Stdin.Read(b[:]); err != nil {
@@ -260,10 +261,18 @@
 				return err
 			}
 		}
-		os.Stdout.Write([]byte{'.'})
+		if err := tellDone(); err != nil {
+			return err
+		}
 	}
 }
 
+// tellDone is the holder's side of done.
+func tellDone() error {
+	_, err := os.Stdout.Write([]byte{'.'})
+	return err
+}
+
 // kernelBytes is what the kernel holds for sockets: its slabs and the memory of TCP.
 func kernelBytes() int64 {
 	var total int64
@@ -327,8 +336,9 @@
 			}
 			defer c.Close()
 			start := time.Now()
-			c.Send(standin.Payment(hole, standin.NewID(), int(limit.Milliseconds()))...)
-			c.Line()
+			// An end of the connection is an answer too: what counts is when it comes.
+			_ = c.Send(standin.Payment(hole, standin.NewID(), int(limit.Milliseconds()))...)
+			_, _ = c.Line()
 			took := time.Since(start) - (limit - 15*time.Millisecond) // the ingress answers so much before
 			mu.Lock()
 			request = append(request, took)
@@ -342,11 +352,12 @@
 				return
 			}
 			defer c.Close()
-			c.Send("PING")
-			c.Line()
+			// An end of the connection is an answer too: what counts is when it comes.
+			_ = c.Send("PING")
+			_, _ = c.Line()
 			start := time.Now()
-			c.Write([]byte("*1\r\n$4\r\nPI"))
-			c.Line()
+			_, _ = c.Write([]byte("*1\r\n$4\r\nPI"))
+			_, _ = c.Line()
 			mu.Lock()
 			half = append(half, time.Since(start)-2*time.Second)
 			mu.Unlock()
@@ -378,12 +389,15 @@
 	return nil
 }
 
+// stopIngress ends an ingress that has been measured: what it ends with changes no figure.
+func stopIngress(p *standin.Process) { _ = p.Stop(patience) }
+
 func (s *site) level(ctx context.Context, n int, d time.Duration) error {
 	p, err := s.start(ctx, "n", *program)
 	if err != nil {
 		return err
 	}
-	defer p.Stop(patience)
+	defer stopIngress(p)
 	time.Sleep(time.Second) // until the start's garbage has settled
 	before, err := p.Usage()
 	if err != nil {
@@ -415,20 +429,20 @@
 		go func() { l = s.load(ctx, p.Addr, d); close(done) }()
 		time.Sleep(d / 4)
 		start := time.Now()
-		err := do()
+		doErr := do()
 		took := time.Since(start)
 		<-done
 		row(fmt.Sprintf("%s (%.1f s)", name, took.Seconds()), l)
-		return err
+		return doErr
 	}
 	var request, half []time.Duration
 	err = loaded(fmt.Sprintf("%d close at once", n), func() error {
 		got := make(chan struct{})
 		go func() { request, half = late(p.Addr, 60); close(got) }()
 		time.Sleep(300 * time.Millisecond)
-		err := h.tell('c')
+		closeErr := h.tell('c')
 		<-got
-		return err
+		return closeErr
 	})
 	if err != nil {
 		return err
@@ -473,7 +487,7 @@
 		if err != nil {
 			return err
 		}
-		defer p.Stop(patience)
+		defer stopIngress(p)
 		nodes = append(nodes, p)
 	}
 	time.Sleep(time.Second)
@@ -553,7 +567,10 @@
 		if err := cmd.Start(); err != nil {
 			return err
 		}
-		defer func() { cmd.Process.Kill(); cmd.Wait() }()
+		defer func() {
+			cmd.Process.Kill()
+			_ = cmd.Wait() // returns only that it was killed
+		}()
 		if _, err := fmt.Fscan(out, &addr); err != nil {
 			return err
 		}
@@ -563,7 +580,7 @@
 		if p, err = s.start(ctx, "n", build); err != nil {
 			return err
 		}
-		defer p.Stop(patience)
+		defer stopIngress(p)
 		pid, addr = p.Cmd.Process.Pid, p.Addr
 	}
 	s.load(ctx, addr, 2*time.Second) // warm
@@ -617,7 +634,7 @@
 				if err != nil {
 					return
 				}
-				if _, err := far.Write(in[:n]); err != nil {
+				if _, err = far.Write(in[:n]); err != nil {
 					return
 				}
 				if n, err = far.Read(out); err != nil {
--- a/cmd/bench/limits/loopback.go
+++ b/cmd/bench/limits/loopback.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	defer p.Stop(5 * time.Second)
+	defer func() { _ = p.Stop(5 * time.Second) }() // what it ends with changes no figure
 	if err := standin.WaitReady(p.Addr, 5*time.Second); err != nil {
 		return err
 	}
--- a/cmd/bench/limits/main.go
+++ b/cmd/bench/limits/main.go
@@ -138,7 +138,6 @@
 type figure struct {
 	worth    float64 // worth served in time of that asked, in the steady state (after the change)
 	fairness float64
-	back     int // seconds after the change until 0.9 of the best constant's is served again; -1: never
 	fallen   int
 	perSec   []float64
 }
@@ -191,7 +190,7 @@
 func run(only, way string, seeds uint64) error {
 	ways := slices.DeleteFunc(slices.Clone(ways), func(w limiterWay) bool { return !strings.Contains(w.name, way) })
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	defer out.Flush()
+	defer func() { _ = out.Flush() }() // after an error: the lines before it
 	fmt.Fprint(out, "fleet\tbest constant")
 	for _, w := range ways {
 		fmt.Fprint(out, "\t", w.name)
@@ -262,7 +261,9 @@
 			}
 		}
 		fmt.Fprintln(out)
-		out.Flush()
+		if err := out.Flush(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/cmd/bench/mutants/main.go
+++ b/cmd/bench/mutants/main.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // only read from
 	lines := bufio.NewScanner(f)
 	var play []string
 	for n := 1; lines.Scan(); n++ {
@@ -134,8 +134,11 @@
 	if n := strings.Count(string(text), old); n != 1 {
 		return "", fmt.Errorf("%s holds the text %d times, want once", m.file, n)
 	}
-	defer os.WriteFile(path, text, 0o600)
-	if err := os.WriteFile(path, []byte(strings.Replace(string(text), old, strings.TrimSuffix(m.new, "\n"), 1)), 0o600); err != nil {
+	defer func() {
+		// A guard that stays out would show in the mutants that come after it.
+		err = errors.Join(err, os.WriteFile(path, text, 0o600))
+	}()
+	if err = os.WriteFile(path, []byte(strings.Replace(string(text), old, strings.TrimSuffix(m.new, "\n"), 1)), 0o600); err != nil {
 		return "", err
 	}
 	target, args := "./cmd/bench/seeds", []string{"-first", "-count", fmt.Sprint(count)}
@@ -147,8 +150,8 @@
 	}
 	build := exec.CommandContext(ctx, "go", "build", "-o", "seeds", target)
 	build.Dir = dir
-	if out, err := build.CombinedOutput(); err != nil {
-		return "", fmt.Errorf("build: %w: %s", err, out)
+	if out, buildErr := build.CombinedOutput(); buildErr != nil {
+		return "", fmt.Errorf("build: %w: %s", buildErr, out)
 	}
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Minute)
 	defer cancel()
--- a/cmd/bench/rollouts/processes.go
+++ b/cmd/bench/rollouts/processes.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	defer os.RemoveAll(bin)
-	if err := fleetproc.Build(bin); err != nil {
+	if err = fleetproc.Build(bin); err != nil {
 		return err
 	}
 	most := max(1, c.Ingresses/10)
--- a/cmd/bench/rollouts/standins.go
+++ b/cmd/bench/rollouts/standins.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	var cfg map[string]any
-	if err := json.Unmarshal(b, &cfg); err != nil {
+	if err = json.Unmarshal(b, &cfg); err != nil {
 		return err
 	}
 	listen, admin := cfg["listen"].(string), os.Getenv("NODE_MGMT")
@@ -91,14 +91,14 @@
 	}
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
+	if err = os.WriteFile(path, b, 0o600); err != nil {
 		return err
 	}
 	cmd := exec.Command(f.Program)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+path, "NODE_MGMT="+innerAdmin)
 	cmd.Stderr = os.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err = cmd.Start(); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", listen)
@@ -117,13 +117,15 @@
 	}()
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: innerAdmin})
 	proxy.ModifyResponse = f.figures
-	go http.ListenAndServe(admin, proxy)
+	go func() {
+		fmt.Fprintln(os.Stderr, "faulty: nothing tells its figures any more:", http.ListenAndServe(admin, proxy))
+	}()
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	go func() {
 		<-ctx.Done()
 		time.Sleep(450 * time.Millisecond) // as the good one: clients go on coming for a moment
 		ln.Close()
-		cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Process.Signal(syscall.SIGTERM) // fails only if it has ended, which is what is wanted
 	}()
 	return cmd.Wait()
 }
@@ -176,7 +178,9 @@
 			f.mu.Lock()
 			f.refused[class]++
 			f.mu.Unlock()
-			io.WriteString(c, "-BUSY 50\r\n")
+			if _, err := io.WriteString(c, "-BUSY 50\r\n"); err != nil {
+				return
+			}
 			continue
 		}
 		if class != "" && f.How == "slow" && time.Since(f.began) > f.After {
@@ -218,7 +222,7 @@
 	for line := range strings.SplitSeq(strings.TrimSpace(string(b)), "\n") {
 		name, value, _ := strings.Cut(line, "=")
 		var n uint64
-		fmt.Sscan(value, &n)
+		_, _ = fmt.Sscan(value, &n) // what is no number counts as 0
 		if class, ok := strings.CutPrefix(name, "edge_node.busy."); ok {
 			n += f.refused[class]
 		}
