Say of each error that the simulators leave why, and drop two unused fields

Change: each is discarded with its reason: what raft or the state refuses counts as lost or changes nothing, and is asked again; a replica's lasting fault is kept for Err. The unused fields lead and asked are gone, and the default case of the operators' orders stands last, with their three exclusions.

--- a/internal/distsim/coordinator.go
+++ b/internal/distsim/coordinator.go
@@ -114,7 +114,7 @@
 	if c.pub != nil {
 		c.node.ReadIndex(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, c.term), uint64(c.now())))
 		for _, e := range c.pub.Tick(c.now()) {
-			c.propose(e)
+			_ = c.propose(e) // what is not applied is made again by a later tick
 		}
 		c.answer()
 	}
@@ -189,7 +189,7 @@
 			c.silent = 0
 		}
 	}
-	c.node.Step(&m)
+	_ = c.node.Step(&m) // a message that is refused counts as one that was lost
 }
 
 func (c *coordinator) apply(entry *pb.Entry) {
--- a/internal/distsim/world.go
+++ b/internal/distsim/world.go
@@ -47,7 +47,6 @@
 
 	coordinators []*coordinator
 	followers    []*follower
-	lead         *coordinator
 	cut          map[int]func(from, to end) bool // by their number
 	cuts         int
 	loss         float64
--- a/internal/fleetsim/member.go
+++ b/internal/fleetsim/member.go
@@ -19,7 +19,6 @@
 	counted  time.Duration
 	classes  map[string]rollout.Count
 	open     float64
-	asked    float64
 	rate     float64 // requests a second in all
 	refuses  float64 // share refused, by its customers' quotas
 	lostFrom time.Duration
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -364,12 +364,12 @@
 		halt()
 		w.After(w.between(0, time.Second), resume)
 		w.After(w.between(0, time.Second), func() { w.goBack(id) })
+	case 5:
+		w.goBack(id)
 	default:
 		w.order(rollout.Entry{By: "op", Drain: m}, func(err error) { w.Note("drain of %s: %v", m, err) })
 		w.After(w.between(0, 150*time.Second), func() {
 			w.order(rollout.Entry{By: "op", Undrain: m}, func(err error) { w.Note("undrain of %s: %v", m, err) })
 		})
-	case 5:
-		w.goBack(id)
 	}
 }
--- a/internal/fleetsim/search/search.go
+++ b/internal/fleetsim/search/search.go
@@ -331,7 +331,7 @@
 	for ; n.Applied < len(w.Log); n.Applied++ {
 		e := w.Log[n.Applied]
 		n.State.Began(e.Term, uint64(n.Applied+1))
-		n.State.Apply(uint64(n.Applied+1), e.Rollout)
+		_ = n.State.Apply(uint64(n.Applied+1), e.Rollout) // an entry that is refused changes nothing
 		if n.Leader != nil && e.Term == n.Term {
 			n.Leader.Applied(e.Rollout)
 		}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -137,7 +137,7 @@
 			c.w.At(c.Resumes(), tick)
 			return
 		}
-		c.do(func() { c.r.Tick(c.clock.of(c.w.Now())) })
+		c.do(func() { _ = c.r.Tick(c.clock.of(c.w.Now())) }) // a lasting fault is kept for Err, which do looks at
 		c.w.After(c.clock.to(c.w.RaftTick), tick)
 	}
 	c.w.After(time.Duration(c.w.rng.Int64N(int64(c.w.RaftTick))), tick)
@@ -173,7 +173,8 @@
 		}
 		data := m.Data
 		c.w.carry(c.place, to.place, func() {
-			to.do(func() { to.r.Step(to.clock.of(c.w.Now()), data) })
+			// A message that is refused counts as lost; a lasting fault is kept for Err.
+			to.do(func() { _ = to.r.Step(to.clock.of(c.w.Now()), data) })
 		})
 	}
 	if err := c.r.Err(); err != nil {
@@ -267,7 +268,8 @@
 			if _, there := lead.r.Peers()[id]; there {
 				return
 			}
-			lead.do(func() { lead.r.Replace(lead.clock.of(w.Now()), old.id, id, "") })
+			// Refused or not: it is asked again until the new one is there.
+			lead.do(func() { _ = lead.r.Replace(lead.clock.of(w.Now()), old.id, id, "") })
 		}
 		w.After(3*time.Second, again)
 	}
