--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -15,7 +15,9 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		flag.Set("rapid.seed", "20261128") // the same verdict at every run
+		if err := flag.Set("rapid.seed", "20261128"); err != nil { // the same verdict at every run
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
--- a/cmd/quotas/deployments.go
+++ b/cmd/quotas/deployments.go
@@ -68,9 +68,22 @@
 	line   = "%4d  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %6.3f  %15.3f  %5.2f  %9.2f  %7d  %7d  %10.2f  %12.2f  %6.1fs\n"
 )
 
+// printer writes formatted text until a write fails, and keeps the error of that write.
+type printer struct {
+	to  io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.to, format, args...)
+	}
+}
+
 // tell prints what comes, and the worst.
 func tell(out io.Writer, results []chan result) error {
-	fmt.Fprintln(out, header)
+	output := &printer{to: out}
+	output.printf("%s\n", header)
 	worst, worstSeed, over := math.Inf(1), uint64(0), 0
 	var sums [4]float64
 	causes := map[choice.Cause]float64{}
@@ -81,7 +94,7 @@
 		}
 		f := r.figures
 		tries := float64(max(f.Tries, 1))
-		fmt.Fprintf(out, line, r.seed, f.OverQuota(), f.OverQuotaLate(), f.Excess(), f.Worth(), f.WorthLate(), f.Net(),
+		output.printf(line, r.seed, f.OverQuota(), f.OverQuotaLate(), f.Excess(), f.Worth(), f.WorthLate(), f.Net(),
 			float64(f.RefusedWithRoom)/tries, float64(f.Known)/tries, f.TriesPerRequest(), f.Tries, f.CeilingPassed, float64(f.Passed)/tries, f.AskedBeyond(), r.took.Seconds())
 		if margin := mostExcess - f.Excess(); margin < worst {
 			worst, worstSeed = margin, r.seed
@@ -96,12 +109,12 @@
 			causes[cause] += float64(refusals) / tries / float64(len(results))
 		}
 	}
-	fmt.Fprintf(out, "mean: price %.3f  served %.3f  net %.3f  refused with room %.3f\n", sums[0], sums[1], sums[2], sums[3])
-	fmt.Fprint(out, "refused for")
+	output.printf("mean: price %.3f  served %.3f  net %.3f  refused with room %.3f\n", sums[0], sums[1], sums[2], sums[3])
+	output.printf("refused for")
 	for _, cause := range choice.Causes() {
-		fmt.Fprintf(out, "  %s %.3f", cause, causes[cause])
+		output.printf("  %s %.3f", cause, causes[cause])
 	}
-	fmt.Fprintln(out)
-	fmt.Fprintf(out, "worst margin %.3f at seed %d; %d of %d break a bound\n", worst, worstSeed, over, len(results))
-	return nil
+	output.printf("\n")
+	output.printf("worst margin %.3f at seed %d; %d of %d break a bound\n", worst, worstSeed, over, len(results))
+	return output.err
 }
--- a/cmd/quotas/main.go
+++ b/cmd/quotas/main.go
@@ -110,7 +110,6 @@
 		return
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	defer out.Flush()
 	for _, n := range []int{3, 30, 300} {
 		for seed := range *seeds {
 			spec := fleet(n, seed+1, *lasts)
@@ -135,4 +134,8 @@
 			fmt.Fprintln(out)
 		}
 	}
+	if err := out.Flush(); err != nil {
+		fmt.Fprintln(os.Stderr, "quotas:", err)
+		os.Exit(1)
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,12 +36,13 @@
 	}
 }
 
-// report writes an error, with the remedy of one that has any.
+// report writes an error, with the remedy of one that has any. The exit code tells of a
+// failure even where this can't be written.
 func report(w io.Writer, name string, err error) {
-	fmt.Fprintf(w, "%s: %v\n", name, err)
+	_, _ = fmt.Fprintf(w, "%s: %v\n", name, err)
 	var fault rollout.Fault
 	if errors.As(err, &fault) {
-		fmt.Fprintln(w, "what to do:", fault.Remedy())
+		_, _ = fmt.Fprintln(w, "what to do:", fault.Remedy())
 	}
 }
 
--- a/internal/standin/traffic_test.go
+++ b/internal/standin/traffic_test.go
@@ -16,16 +16,17 @@
 	var server, client Traffic
 	served := make(chan error, 1)
 	go func() {
-		c, err := server.Listener(ln).Accept()
-		if err != nil {
-			served <- err
+		c, acceptErr := server.Listener(ln).Accept()
+		if acceptErr != nil {
+			served <- acceptErr
 			return
 		}
 		defer c.Close()
-		if _, err = io.ReadFull(c, make([]byte, 5)); err == nil {
-			_, err = io.WriteString(c, "a longer answer")
+		_, transferErr := io.ReadFull(c, make([]byte, 5))
+		if transferErr == nil {
+			_, transferErr = io.WriteString(c, "a longer answer")
 		}
-		served <- err
+		served <- transferErr
 	}()
 	nc, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -23,14 +23,15 @@
 func (f Flags) Seeds() Seeds { return Seeds{From: f.From, Count: f.Count, Jobs: f.Jobs} }
 
 // Alone plays the seed that the flags name, and prints what comes of it; before it, if the
-// flags ask for a trace, all that happens.
+// flags ask for a trace, all that happens. The caller has the result also where it can't be
+// printed.
 func Alone[R any](w io.Writer, flags Flags, play func(seed uint64, tell func(time.Duration, string)) R) R {
 	var tell func(time.Duration, string)
 	if flags.Trace {
-		tell = func(at time.Duration, line string) { fmt.Fprintf(w, "%10.3f %s\n", at.Seconds(), line) }
+		tell = func(at time.Duration, line string) { _, _ = fmt.Fprintf(w, "%10.3f %s\n", at.Seconds(), line) }
 	}
 	result := play(flags.Seed, tell)
-	fmt.Fprintf(w, "%+v\n", result)
+	_, _ = fmt.Fprintf(w, "%+v\n", result)
 	return result
 }
 
