Bound a reading by the ceiling and the units that one request may settle at

Seen on rereading: a reading was set aside as impossible beyond what the ceiling lets pass in a period. The ceiling takes the units that a request names; where these are settled after the answer, the meter counts what it came to, up to MaxUnits, so that a true reading could be set aside.

Line at fault: possible in choice/meter.go. It holds where a request names one unit at least. Test: TestReadingOfSettledUnitsMayPassTheCeiling fails without the line, as seen.

--- a/choice/meter.go
+++ b/choice/meter.go
@@ -124,11 +124,13 @@
 	return p.Rate * g.cfg.MeterPeriod.Seconds()
 }
 
-// possible tells whether the meter can have shown a use. No customer passes its ceiling.
+// possible tells whether the meter can have shown a use. No customer passes its ceiling, which counts a unit
+// of each request at least, while the meter may count MaxUnits of it: units can be settled after the answer.
 func (g *Gateway) possible(p *Plan, used float64) bool {
 	most := math.MaxFloat64
 	if p.Rate > 0 && p.CeilingRate > 0 {
 		most = p.CeilingBurst + p.CeilingTolerance + p.CeilingRate*g.cfg.MeterPeriod.Seconds()
+		most *= max(1, g.cfg.MaxUnits)
 	}
 	return used >= 0 && used*g.quota(p) <= most
 }
--- a/choice/population_test.go
+++ b/choice/population_test.go
@@ -140,3 +140,18 @@
 		t.Errorf("%.2f of the customers of a new plan pass, want all", got)
 	}
 }
+
+// A ceiling takes the units that a request names; the meter may show more, where these are settled afterwards.
+func TestReadingOfSettledUnitsMayPassTheCeiling(t *testing.T) {
+	cfg := manyGateways()
+	cfg.MaxUnits = 6
+	g, rec := open(t, cfg, backends(4))
+	ask(g, rec, time.Second, choice.Request{ID: 1, Customer: 1, Plan: ceilingPlan, Spread: 1}, 1200) // 600 units, of 6 x 350
+	if got := g.Misread(); got != 0 {
+		t.Errorf("a reading of 600 units was set aside, though 350 requests may have counted 6 each")
+	}
+	ask(g, rec, 2*time.Second, choice.Request{ID: 2, Customer: 2, Plan: ceilingPlan, Spread: 1}, 6000)
+	if got := g.Misread(); got != 1 {
+		t.Errorf("%d readings set aside, want that of 3,000 units", got)
+	}
+}
