Count and log why connections close, attempts end and requests are retried

Each end of a connection and of an attempt now has a typed reason. They are counted always (GET /status/events), and logged with the request's id when the file of our own says so ([log] requests, off by default). Nothing decides by them.

Test: TestEndsAreCountedByReason.

--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -14,8 +14,17 @@
 // Own is the whole file. Parts that it leaves out are nil.
 type Own struct {
 	Admission *Admission `toml:"door"`
+	Log       *Log       `toml:"log"`
 }
 
+// Log tells what is logged beyond the usual.
+type Log struct {
+	Requests bool `toml:"requests"` // each request, attempt and connection, with the reason of each end
+}
+
+// LogsRequests tells whether each request is logged.
+func (l *Log) LogsRequests() bool { return l != nil && l.Requests }
+
 // Admission sets limits on connections; see package admission. A limit that is left out
 // follows from the platform's limits. Counts are of connections.
 type Admission struct {
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -38,6 +38,8 @@
 	AppendFigures(b []byte) []byte
 	// AppendBackends appends what is known of each backend, a line each.
 	AppendBackends(b []byte) []byte
+	// AppendEvents appends counts of what has ended, by reason.
+	AppendEvents(b []byte) []byte
 	// Standby empties the ingress: it takes no clients and lets those it has go.
 	Standby()
 	// Active ends that.
@@ -230,6 +232,8 @@
 		answer = func() (int, []byte) { return http.StatusOK, node.AppendFigures(nil) }
 	case "/status/backends":
 		answer = func() (int, []byte) { return http.StatusOK, node.AppendBackends(nil) }
+	case "/status/events":
+		answer = func() (int, []byte) { return http.StatusOK, node.AppendEvents(nil) }
 	case "/standby":
 		method = http.MethodPut
 		answer = func() (int, []byte) { node.Standby(); return http.StatusOK, nil }
--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -24,6 +24,7 @@
 func (n *fakeNode) Takes() bool                    { return n.takes }
 func (n *fakeNode) AppendFigures(b []byte) []byte  { return append(b, "edge_node.inflight=7\n"...) }
 func (n *fakeNode) AppendBackends(b []byte) []byte { return append(b, "s-1 state=used\n"...) }
+func (n *fakeNode) AppendEvents(b []byte) []byte   { return append(b, "closed client=1\n"...) }
 func (n *fakeNode) Standby()                       { n.takes = false }
 func (n *fakeNode) Active()                        { n.takes = true }
 func (n *fakeNode) Starved()                       { n.starved() }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"errors"
+	"io"
 	"strconv"
 	"time"
 
@@ -115,12 +116,13 @@
 // client is a client's connection. Commands start as they come; answers go in
 // the order of the commands.
 type client struct {
-	front *front
-	net   reactor.Conn // nil once closed
-	index int          // in front.clients
-	wrong int32        // wrong commands so far
-	place admission.Place[*client]
-	timer reactor.Timer
+	front  *front
+	net    reactor.Conn // nil once closed
+	number uint64       // in the order of acceptance, for logs
+	index  int          // in front.clients
+	wrong  int32        // wrong commands so far
+	place  admission.Place[*client]
+	timer  reactor.Timer
 
 	first, last *slot // answers due, in order
 	pending     int
@@ -137,16 +139,17 @@
 
 	stall *list.Element // its place among those that do not read
 
-	asked       bool // has sent a request that could be taken
-	timed       bool // readBy runs, for this command or the one before
-	readable    bool // the socket may have more
-	heldUp      bool // what can be read has waited for us
-	behind      bool // half may hold whole commands: they came while none was taken
-	parting     bool // is in front.parting: its client has ended it
-	queued      bool // is in front.again
-	soiled      bool // is in front.dirty
-	closing     bool // takes no further command, and ends when all is answered
-	inputClosed bool // reads nothing more: what has been read is all that it takes
+	asked       bool        // has sent a request that could be taken
+	timed       bool        // readBy runs, for this command or the one before
+	readable    bool        // the socket may have more
+	heldUp      bool        // what can be read has waited for us
+	behind      bool        // half may hold whole commands: they came while none was taken
+	parting     bool        // is in front.parting: its client has ended it
+	queued      bool        // is in front.again
+	soiled      bool        // is in front.dirty
+	closing     bool        // takes no further command, and ends when all is answered
+	inputClosed bool        // reads nothing more: what has been read is all that it takes
+	why         closeReason // closing: why
 }
 
 // soil notes that there may be something to write.
@@ -180,16 +183,16 @@
 func (c *client) refuse(err error) { c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
 
 // fail tells the client what is wrong and ends the connection.
-func (c *client) fail(err error) {
+func (c *client) fail(why closeReason, err error) {
 	c.refuse(err)
-	c.end()
+	c.end(why)
 }
 
 // end lets the answers still due be written, and then ends the connection: one
 // that closes under them loses requests. What the client sends meanwhile is not
 // read: at full speed it would cost the others their CPU.
-func (c *client) end() {
-	c.closing = true
+func (c *client) end(why closeReason) {
+	c.closing, c.why = true, why
 	c.readBy, c.resume = 0, 0
 	c.keep(nil)
 	c.soil()
@@ -235,7 +238,7 @@
 	buf := c.front.buf
 	if len(c.half) > 0 {
 		if len(c.half) == cap(c.half) && !c.grow() {
-			c.fail(errNoMemory)
+			c.fail(closedNoMemory, errNoMemory)
 			return
 		}
 		buf = c.half[len(c.half):cap(c.half)]
@@ -252,7 +255,11 @@
 		return
 	}
 	if err != nil {
-		c.close() // the client is gone
+		if errors.Is(err, io.EOF) {
+			c.close(closedByClient, nil)
+		} else {
+			c.close(closedReadFailed, err)
+		}
 		return
 	}
 	c.heldUp = false
@@ -308,7 +315,7 @@
 	for len(buf) > 0 && c.takes() {
 		args, n, err := nextCommand(buf)
 		if err != nil {
-			c.fail(err)
+			c.fail(closedMalformed, err)
 			return
 		}
 		if n == 0 {
@@ -333,7 +340,7 @@
 		c.readBy, c.timed = c.front.loop.Now()+halfPatience, true
 	}
 	if !c.keep(buf) {
-		c.fail(errNoMemory)
+		c.fail(closedNoMemory, errNoMemory)
 		return
 	}
 	c.arm()
@@ -359,7 +366,7 @@
 		// is turned away leaves the CPU to the others.
 		c.wrong++
 		if c.wrong >= mostWrong {
-			c.fail(errWrong)
+			c.fail(closedWrong, errWrong)
 			return
 		}
 		if c.wrong > 1 {
@@ -381,6 +388,7 @@
 	r.answer = &r.slot
 	c.asked = true
 	c.push(&r.slot)
+	owner.events.taken(c, r)
 	owner.request(r)
 }
 
@@ -438,6 +446,9 @@
 		}
 	}
 	if c.first == nil && (c.closing || f.draining) && c.endBy == 0 && (c.asked || c.closing || c.place.Leaving()) {
+		if !c.closing {
+			c.why = closedDraining
+		}
 		c.shut()
 		return
 	}
@@ -476,7 +487,7 @@
 		c.bound()
 		return false
 	default:
-		c.close()
+		c.close(closedWriteFailed, err)
 		return false
 	}
 	c.unwritten = nil
@@ -498,10 +509,10 @@
 func (c *client) bound() {
 	f := c.front
 	if c.unread > mostHeld {
-		c.close()
+		c.close(closedUnread, nil)
 	}
 	for int64(f.held) > f.loop.memory.most/heldPart && f.stalled.Len() > 0 {
-		f.stalled.Front().Value.(*client).close()
+		f.stalled.Front().Value.(*client).close(closedUnread, nil)
 	}
 }
 
@@ -510,6 +521,7 @@
 // of that is read. A request that crosses the end of its connection unread is sent
 // anew by its client; one that was read would be taken, and lost.
 func (c *client) shut() {
+	c.front.loop.events.closed(c, c.why, nil)
 	c.net.CloseWrite()
 	c.closing = true
 	c.keep(nil)
@@ -529,7 +541,7 @@
 	c.speaks()
 	c.pump()
 	if c.inputClosed = true; c.net != nil && !c.closing && !c.behind {
-		c.end()
+		c.end(closedFinished)
 	}
 }
 
@@ -555,9 +567,10 @@
 		return true
 	}
 	if c.front.draining {
+		c.why = closedDraining
 		c.shut()
 	} else {
-		c.close()
+		c.close(closedIdle, nil)
 	}
 	return false
 }
@@ -601,10 +614,10 @@
 			c.endBy = now + lingerTime
 			break
 		}
-		c.close()
+		c.close(closedEnded, nil)
 		return
 	case over(&c.writeBy):
-		c.close()
+		c.close(closedSlowReader, nil)
 		return
 	case over(&c.resume):
 		c.pump()
@@ -617,21 +630,25 @@
 			break // it was whole, or has moved the bound
 		}
 		if len(c.half) > 0 {
-			c.fail(errHalf)
+			c.fail(closedHalf, errHalf)
 		} else {
-			c.fail(errSilent)
+			c.fail(closedSilent, errSilent)
 		}
 		c.reportActivity()
 	}
 	c.arm()
 }
 
-// close closes the connection and ends its open requests.
-func (c *client) close() {
+// close closes the connection and ends its open requests. err is what the system said,
+// nil where it said nothing.
+func (c *client) close(why closeReason, err error) {
 	f := c.front
 	if c.net == nil {
 		return
 	}
+	if c.endBy == 0 && why != closedEnded { // its end has been told already
+		f.loop.events.closed(c, why, err)
+	}
 	c.net.Close()
 	c.net = nil
 	f.leave(c)
@@ -645,6 +662,7 @@
 // takes the answers before with it.
 func (c *client) breakOff() {
 	open := c.forsake()
+	c.why = closedValueBroken
 	c.shut()
 	c.front.loop.gone(open)
 }
--- /dev/null
+++ b/internal/ingress/events.go
@@ -0,0 +1,141 @@
+package ingress
+
+import (
+	"fmt"
+	"log/slog"
+
+	"wickarch/choice"
+	"wickarch/internal/upstream"
+)
+
+// closeReason tells why a client's connection was ended or closed.
+type closeReason uint8
+
+const (
+	closedByClient    closeReason = iota // it ended its side, or the connection broke
+	closedReadFailed                     // the system could not read from it
+	closedWriteFailed                    // the system could not write to it
+	closedSlowReader                     // it did not read its answers in time
+	closedUnread                         // its answers, or those of all, took too much memory
+	closedMalformed                      // what it sent can't be read
+	closedWrong                          // it sent too many wrong commands
+	closedSilent                         // no command came in time
+	closedHalf                           // half a command came and no more
+	closedNoMemory                       // no memory was left for its command
+	closedIdle                           // it was idle and its place was wanted
+	closedDraining                       // the ingress drains and nothing is open on it
+	closedFinished                       // the process ends
+	closedValueBroken                    // a large value broke off on its way
+	closedEnded                          // it had been ended by us, and its time to read on is over
+	closedUnwatched                      // the poller could not take it
+	closeReasons
+)
+
+var closeReasonNames = [closeReasons]string{"client", "read-failed", "write-failed", "slow-reader", "unread", "malformed", "wrong", "silent",
+	"half", "no-memory", "idle", "draining", "finished", "value-broken", "ended", "unwatched"}
+
+func (r closeReason) String() string { return closeReasonNames[r] }
+
+var kindNames = [...]string{served: "served", refused: "refused", failed: "failed", known: "known"}
+
+func (k kind) String() string { return kindNames[k] }
+
+// eventLog counts why connections were closed, attempts ended and system calls failed,
+// and with details logs each of these and what became of each request.
+type eventLog struct {
+	closes        [closeReasons]uint64
+	ends          [upstream.Causes]uint64
+	retries       uint64
+	acceptsFailed uint64
+	details       *slog.Logger // nil: counts alone
+}
+
+// taken notes a request that was read whole.
+func (e *eventLog) taken(c *client, r *request) {
+	if e.details != nil {
+		e.details.Info("request taken", "request", fmt.Sprintf("%016x", r.name), "connection", c.number, "class", r.class,
+			"read_at", c.readAt, "deadline", r.deadline)
+	}
+}
+
+// sent notes an attempt that begins.
+func (e *eventLog) sent(r *request, a *upstream.Attempt) {
+	if a.Number > 0 {
+		e.retries++
+	}
+	if e.details != nil {
+		e.details.Info("attempt begins", "request", fmt.Sprintf("%016x", r.name), "attempt", a.Number, "backend", a.Backend, "deadline", a.Deadline)
+	}
+}
+
+// ended notes the end of an attempt.
+func (e *eventLog) ended(r *request, a *upstream.Attempt, reply upstream.Reply) {
+	e.ends[reply.Cause]++
+	if e.details != nil {
+		e.details.Info("attempt ended", "request", fmt.Sprintf("%016x", r.name), "attempt", a.Number, "backend", a.Backend,
+			"status", statusName(reply.Status), "cause", reply.Cause, "error", reply.Err, "over", r.over)
+	}
+}
+
+// answered notes the final answer of a request.
+func (e *eventLog) answered(r *request, k kind) {
+	if e.details != nil {
+		e.details.Info("request answered", "request", fmt.Sprintf("%016x", r.name), "kind", k, "attempts", len(r.attempts))
+	}
+}
+
+// abandoned notes a request whose client's connection has gone.
+func (e *eventLog) abandoned(r *request) {
+	if e.details != nil {
+		e.details.Info("request abandoned", "request", fmt.Sprintf("%016x", r.name), "attempts", len(r.attempts), "out", r.out)
+	}
+}
+
+// closed notes the end of a client's connection, and what was open on it.
+func (e *eventLog) closed(c *client, why closeReason, err error) {
+	e.closes[why]++
+	if e.details != nil {
+		e.details.Info("connection closed", "connection", c.number, "reason", why, "error", err, "pending", c.pending, "half", len(c.half),
+			"unread", c.unread)
+	}
+}
+
+// opened notes a connection that was accepted.
+func (e *eventLog) opened(c *client) {
+	if e.details != nil {
+		e.details.Info("connection accepted", "connection", c.number)
+	}
+}
+
+// acceptFailed notes that the system gave no connection.
+func (e *eventLog) acceptFailed(err error) {
+	e.acceptsFailed++
+	if e.details != nil {
+		e.details.Info("accept failed", "error", err)
+	}
+}
+
+// phase notes a step of the process's end.
+func (e *eventLog) phase(name string) {
+	if e.details != nil {
+		e.details.Info("phase", "name", name)
+	}
+}
+
+// append appends the counts, a line for each kind.
+func (e *eventLog) append(b []byte) []byte {
+	b = append(b, "closed"...)
+	for why, n := range e.closes {
+		b = fmt.Appendf(b, " %s=%d", closeReason(why), n)
+	}
+	b = append(b, "\nended"...)
+	for cause, n := range e.ends {
+		b = fmt.Appendf(b, " %s=%d", upstream.Cause(cause), n)
+	}
+	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d\n", e.retries, e.acceptsFailed)
+}
+
+// statusName names the end of an attempt.
+func statusName(s choice.Status) string {
+	return [...]string{"ok", "error", "refused", "timeout", "connect-failed", "reset", "cancelled", "moot"}[s]
+}
--- a/internal/ingress/figures.go
+++ b/internal/ingress/figures.go
@@ -91,3 +91,7 @@
 	}
 	return fmt.Appendf(b, "\nreadings misread=%d\n", l.gateway.Misread())
 }
+
+// AppendEvents appends how often connections were closed, attempts ended and calls failed,
+// by reason.
+func (i *Ingress) AppendEvents(b []byte) []byte { return i.loop.events.append(b) }
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -67,6 +67,29 @@
 	}
 }
 
+// Guards against ends that nobody can explain: each end of a connection and of an attempt is
+// counted by its reason.
+func TestEndsAreCountedByReason(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, withAdmin, b.member("s-1"))
+	c := r.dial()
+	c.send("Q.ASK", anyone, newID(), lookup)
+	wait(t, "the first", b.Got).Answer("one")
+	c.want("$3\r\none")
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	wait(t, "the second", b.Got).Reset()
+	c.want("-ERR failed")
+	c.write("nonsense\r\n")
+	c.line()
+	c.wantEnd()
+	_, text := r.adminCall("GET", "/status/events")
+	for _, want := range []string{" malformed=1 ", " read-failed=1 ", "ended none=1 ", "retries=0 "} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in %q", want, text)
+		}
+	}
+}
+
 // The figures are held against what the backend got and the clients were told.
 func TestFiguresAreWhatPeersSaw(t *testing.T) {
 	b := newBackend(t)
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -36,6 +36,7 @@
 	dirty     []*client // may have answers to write
 	stalled   list.List // of *client: wait for their clients to read on, the longest first
 	held      int       // bytes of answers that these are due
+	accepted  uint64    // connections so far
 
 	acceptable bool          // the listener may have more
 	retryAt    time.Duration // accept failed, or had its batch: not before then; 0 when not
@@ -131,7 +132,7 @@
 			// theirs: to close each as it comes would hold those up.
 			f.part(c)
 		} else {
-			c.close()
+			c.close(closedByClient, nil)
 		}
 		return
 	}
@@ -167,7 +168,7 @@
 	}
 	n := min(partBatch, len(f.parting))
 	for i, c := range f.parting[:n] {
-		c.close()
+		c.close(closedByClient, nil)
 		f.parting[i] = nil
 	}
 	if f.parting = f.parting[n:]; len(f.parting) == 0 {
@@ -226,6 +227,7 @@
 		case errors.Is(err, reactor.ErrWait):
 			f.acceptable = false
 		default: // descriptors or memory have run out; the next ones wait in the queue
+			f.loop.events.acceptFailed(err)
 			f.shrink(now)
 		}
 	}
@@ -241,13 +243,16 @@
 
 // add serves a new connection.
 func (f *front) add(nc reactor.Conn, now time.Duration) {
-	c := &client{front: f, net: nc, index: len(f.clients), readBy: now + firstPatience, timed: true}
+	f.accepted++
+	c := &client{front: f, net: nc, number: f.accepted, index: len(f.clients), readBy: now + firstPatience, timed: true}
 	c.place.Owner, c.timer.Owner = c, c
 	if err := nc.Watch(c); err != nil {
+		f.loop.events.closed(c, closedUnwatched, err)
 		nc.Close()
 		f.shrink(now)
 		return
 	}
+	f.loop.events.opened(c)
 	f.clients = append(f.clients, c)
 	f.admission.Admit(&c.place, now)
 	c.arm()
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"time"
 
 	"wickarch/choice"
@@ -44,6 +45,7 @@
 	answers  []answer // given and not handed out yet
 	settling bool
 	figures  figures
+	events   eventLog
 	spare    *alarm // of the gateway's timers, to be used again
 	terms    *terms // nil while no version of configuration was in force
 }
@@ -100,6 +102,9 @@
 		Loop: on, cfg: cfg, requests: map[uint32]*request{}, figures: figures{classes: make([]ClassFigures, len(cfg.Choice.Classes))},
 		memory: &memory{most: int64(cfg.Limits.MemoryMB) << 20 / heldShare},
 	}
+	if cfg.Own.Log.LogsRequests() {
+		l.events.details = slog.Default()
+	}
 	longest := time.Duration(0)
 	for _, c := range cfg.Choice.Classes {
 		longest = max(longest, c.Deadline)
@@ -204,6 +209,7 @@
 		if !r.over {
 			r.over = true
 			l.figures.open--
+			l.events.abandoned(r)
 			if len(r.attempts) == 0 {
 				l.ids.remove(r.name) // nothing was sent on: it may come again
 			}
@@ -233,6 +239,7 @@
 	}
 	r := a.Owner.(*request)
 	r.out--
+	l.events.ended(r, a, reply)
 	l.fleet.Ended()
 	if reply.Stream != nil {
 		if r.over {
@@ -286,6 +293,7 @@
 		return
 	}
 	r.over = true
+	l.events.answered(r, o.kind)
 	l.withdraw(r) // a second copy that has not gone out yet
 	if o.body == nil {
 		l.figures.open--
@@ -387,6 +395,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	l.events.sent(r, a)
 	l.fleet.Sent()
 	l.pool.Start(a)
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -78,14 +78,21 @@
 // taken still, until CloseListener.
 func (i *Ingress) Drain() {
 	i.stopping = true
+	i.loop.events.phase("drain")
 	i.front.drain()
 }
 
 // CloseListener ends the taking of connections.
-func (i *Ingress) CloseListener() { i.front.closeListener() }
+func (i *Ingress) CloseListener() {
+	i.loop.events.phase("close listener")
+	i.front.closeListener()
+}
 
 // Finish ends the taking of requests, on all connections.
-func (i *Ingress) Finish() { i.front.finish() }
+func (i *Ingress) Finish() {
+	i.loop.events.phase("finish")
+	i.front.finish()
+}
 
 // Takes tells whether this process takes clients.
 func (i *Ingress) Takes() bool { return i.loop.ready && !i.front.draining && i.front.ln != nil }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -74,7 +74,7 @@
 		return
 	}
 	if err != nil {
-		c.fail(choice.ConnectFailed)
+		c.fail(choice.ConnectFailed, CauseDialFailed, err)
 		return
 	}
 	c.net, c.state = nc, connecting
@@ -105,8 +105,12 @@
 	// while the attempt waited for its connection must get nothing new.
 	// One that waited past the time for which it was decided goes no more, either.
 	now := p.loop.Now()
-	if c.to.stopped || now >= a.until() {
-		c.fail(choice.ConnectFailed)
+	if c.to.stopped {
+		c.fail(choice.ConnectFailed, CauseBackendGone, nil)
+		return
+	}
+	if now >= a.until() {
+		c.fail(choice.ConnectFailed, CauseExpired, nil)
 		return
 	}
 	p.out = a.Message.AppendTo(p.out[:0], a.Deadline-now)
@@ -135,7 +139,7 @@
 			c.rest = b[n:]
 		}
 	default:
-		c.fail(choice.ConnectFailed)
+		c.fail(choice.ConnectFailed, CauseWriteFailed, err)
 	}
 }
 
@@ -145,16 +149,20 @@
 	switch c.state {
 	case connecting:
 		if e&reactor.Gone != 0 || e&reactor.Writable == 0 {
-			c.fail(choice.ConnectFailed)
+			c.fail(choice.ConnectFailed, CauseRefused, nil)
 			return
 		}
 		// Its attempt goes in the pool's turn: where the process stood still, what
 		// speaks against it (its client has left) may be told in this round, behind this.
 		c.pool.up = append(c.pool.up, c)
 	case writing:
-		if e&(reactor.Gone|reactor.Readable|reactor.Ended) != 0 || c.pool.loop.Now() >= c.attempt.until() {
+		if e&(reactor.Gone|reactor.Readable|reactor.Ended) != 0 {
 			// An answer to half a request is nobody's.
-			c.fail(choice.ConnectFailed)
+			c.fail(choice.ConnectFailed, CauseAnsweredEarly, nil)
+			return
+		}
+		if c.pool.loop.Now() >= c.attempt.until() {
+			c.fail(choice.ConnectFailed, CauseExpired, nil)
 			return
 		}
 		c.write(c.rest)
@@ -177,10 +185,12 @@
 func (c *conn) cameUp() {
 	switch {
 	case c.state != connecting: // withdrawn, or given up, meanwhile
-	case c.net.Pending(), c.pool.loop.Now() >= c.upBy:
+	case c.net.Pending():
 		// A backend that takes no more connections may end it, or say so,
 		// before the first byte is written.
-		c.fail(choice.ConnectFailed)
+		c.fail(choice.ConnectFailed, CauseRefused, nil)
+	case c.pool.loop.Now() >= c.upBy:
+		c.fail(choice.ConnectFailed, CauseConnectLate, nil)
 	default:
 		c.send()
 	}
@@ -211,7 +221,7 @@
 			return
 		}
 		if err != nil {
-			c.fail(choice.Reset)
+			c.fail(choice.Reset, CauseReadFailed, err)
 			return
 		}
 		if c.state == written {
@@ -226,12 +236,12 @@
 		switch {
 		case err != nil: // the backend lives and has run it
 			c.pool.countViolation()
-			c.fail(choice.Error)
+			c.fail(choice.Error, CauseMalformed, err)
 			return
 		case used > 0 && reply.large > 0:
 			if c.attempt.Probe {
 				c.pool.countViolation()
-				c.fail(choice.Error)
+				c.fail(choice.Error, CauseUnexpected, nil)
 				return
 			}
 			c.begin(reply, got[used:])
@@ -240,7 +250,7 @@
 			// Half a line that came between requests, and the answer to this one
 			// behind it in the same line: it may have run.
 			c.pool.countViolation()
-			c.fail(choice.Error)
+			c.fail(choice.Error, CauseUnexpected, nil)
 			return
 		case used > 0:
 			c.answered(reply, len(got) > used)
@@ -277,7 +287,7 @@
 	}
 	if r.Status == choice.OK && a.Probe != (r.Value == nil) { // the answer to something else
 		p.countViolation()
-		c.fail(choice.Error)
+		c.fail(choice.Error, CauseUnexpected, nil)
 		return
 	}
 	switch {
@@ -292,7 +302,7 @@
 			// late what came in time.
 			if c.history.has(c.last, a.started) { // once more: whose it is nobody can tell
 				p.countViolation()
-				c.fail(choice.Error)
+				c.fail(choice.Error, CauseCopy, nil)
 				return
 			}
 			c.history.add(c.last, now)
@@ -318,12 +328,14 @@
 	switch c.state {
 	case waiting:
 		if now >= c.attempt.Deadline {
-			c.fail(choice.ConnectFailed)
+			c.fail(choice.ConnectFailed, CauseNoDescriptor, nil)
 		} else {
 			c.connect()
 		}
-	case connecting, writing:
-		c.fail(choice.ConnectFailed)
+	case connecting:
+		c.fail(choice.ConnectFailed, CauseConnectLate, nil)
+	case writing:
+		c.fail(choice.ConnectFailed, CauseExpired, nil)
 	case written, answering:
 		// What has come by now counts: a round that is late must not.
 		if c.net.Pending() {
@@ -332,9 +344,9 @@
 		switch {
 		case !c.state.mayHaveRun():
 		case now >= c.attempt.Deadline:
-			c.fail(choice.Timeout)
+			c.fail(choice.Timeout, CauseDeadline, nil)
 		case c.state == answering && now >= c.stallBy:
-			c.fail(choice.Error)
+			c.fail(choice.Error, CauseStalled, nil)
 		}
 	case streaming:
 		if c.net.Pending() {
@@ -348,15 +360,15 @@
 }
 
 // fail closes the connection and ends its attempt: as told if it may have run,
-// and else as one that never did.
-func (c *conn) fail(status choice.Status) {
+// and else as one that never did. err is what the system said, nil where it said nothing.
+func (c *conn) fail(status choice.Status, cause Cause, err error) {
 	a := c.attempt
 	if !c.state.mayHaveRun() {
 		status = choice.ConnectFailed
 	}
 	c.close() // before the outcome is told: a second attempt must not overlap
 	if a != nil {
-		c.pool.end(a, Reply{Status: status})
+		c.pool.end(a, Reply{Status: status, Cause: cause, Err: err})
 	}
 }
 
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -25,6 +25,8 @@
 	Age     time.Duration // since the answer began to come
 	Load    choice.Load
 	Stream  *Stream // in place of Value, where that is large
+	Cause   Cause   // why the attempt ended without an answer that could be taken
+	Err     error   // what the system said then; nil where it said nothing
 
 	large int // the size of a value that is to be streamed; what follows is not read yet
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -276,7 +276,7 @@
 	a.started = p.loop.Now()
 	b := p.byID[a.Backend]
 	if b == nil || b.stopped { // told since the choice: nothing is sent
-		p.end(a, Reply{Status: choice.ConnectFailed})
+		p.end(a, Reply{Status: choice.ConnectFailed, Cause: CauseBackendGone})
 		return
 	}
 	if a.fresh = !a.Repeatable && p.stale > staleMost; !a.fresh {
@@ -291,7 +291,7 @@
 		p.Evict()
 	}
 	if p.open >= p.cfg.Connections {
-		p.end(a, Reply{Status: choice.ConnectFailed})
+		p.end(a, Reply{Status: choice.ConnectFailed, Cause: CauseNoPlace})
 		return
 	}
 	p.dial(b, a)
@@ -301,7 +301,7 @@
 // connection is closed before, so that no second attempt overlaps it.
 func (p *Pool) Abort(a *Attempt) {
 	if a.conn != nil {
-		a.conn.fail(choice.Cancelled)
+		a.conn.fail(choice.Cancelled, CauseCancelled, nil)
 	}
 }
 
@@ -311,7 +311,7 @@
 func (p *Pool) Withdraw(a *Attempt) {
 	if c := a.conn; c != nil && !c.state.mayHaveRun() {
 		c.close()
-		p.end(a, Reply{Status: choice.Moot})
+		p.end(a, Reply{Status: choice.Moot, Cause: CauseWithdrawn})
 	}
 }
 
