--- /dev/null
+++ b/cmd/wickarch/faults_test.go
@@ -0,0 +1,319 @@
+//go:build linux && amd64
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"wickarch/internal/faultinject"
+	"wickarch/internal/standin"
+)
+
+// The tests here run the real program while chosen system calls of it fail, as Linux
+// documents that they may (issue 51). They judge by what clients and backends see.
+
+// faultyDeadline is that of requests under faults; what has no answer by then is lost.
+const faultyDeadline = 3 * time.Second
+
+// configName is how the file of the configuration is called.
+const configName = "n.json"
+
+// faulty is the program under a tracer.
+type faulty struct {
+	*site
+	control *faultinject.Control
+}
+
+// startFaulty starts the program with rules in force from its first moment.
+func startFaulty(t *testing.T, first ...faultinject.Rule) *faulty {
+	t.Helper()
+	f := &faulty{site: around(t, limits)}
+	f.node.Settings = json.RawMessage(strings.ReplaceAll(string(f.node.Settings), `"give_up_ms":20000`,
+		fmt.Sprintf(`"give_up_ms":%d`, faultyDeadline.Milliseconds())))
+	f.node.Prepare = func(cmd *exec.Cmd) (err error) {
+		f.control, err = faultinject.NewControl(cmd)
+		return err
+	}
+	env, err := faultinject.Environment("", 1, first...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.begin(nil, env...)
+	return f
+}
+
+// set puts rules in force.
+func (f *faulty) set(rules ...faultinject.Rule) {
+	f.Helper()
+	if _, err := f.control.Set(rules...); err != nil {
+		f.Error(err)
+	}
+}
+
+// words are those of a lookup, or of a payment.
+func words(id string) []string {
+	if standin.PaymentID(id) {
+		return standin.Payment(1, id, int(faultyDeadline.Milliseconds()))
+	}
+	return standin.Lookup(1, id, int(faultyDeadline.Milliseconds()))
+}
+
+// newIDs are those of lookups and payments in turn.
+func newIDs(n int) (ids []string) {
+	for i := range n {
+		kind := "0"
+		if i%2 == 1 {
+			kind = "f"
+		}
+		ids = append(ids, kind+standin.NewID()[1:])
+	}
+	return ids
+}
+
+// sendAll writes requests behind each other on one connection, and tells what they end with.
+func (f *faulty) sendAll(c *standin.Client, ids []string) (outcomes []standin.Outcome) {
+	c.SetDeadline(time.Now().Add(faultyDeadline + time.Second))
+	var all []byte
+	for _, id := range ids {
+		all = append(all, standin.Encode(words(id)...)...)
+	}
+	if _, err := c.Write(all); err != nil {
+		f.Error(err)
+	}
+	for _, id := range ids {
+		outcomes = append(outcomes, c.Outcome(id))
+	}
+	return outcomes
+}
+
+// judge wants each outcome to be served.
+func (f *faulty) judge(ids []string, outcomes []standin.Outcome) {
+	f.Helper()
+	bad := map[standin.Outcome]int{}
+	for i := range ids {
+		if outcomes[i] != standin.Served {
+			bad[outcomes[i]]++
+		}
+	}
+	if len(bad) > 0 {
+		f.Errorf("of %d requests these were not served: %v (2 failed, 3 unsent, 4 lost, 5 wrong)", len(ids), bad)
+	}
+	f.once()
+}
+
+// Guards against requests that nobody reads: a read that returned less than was there was taken for
+// a socket that is empty, and the poller tells of each arrival once.
+func TestRequestsReadInPiecesAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		call faultinject.Call
+	}{{"from clients", faultinject.ReadClient}, {"from backends", faultinject.ReadBackend}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			f.set(faultinject.Rule{Call: c.call, Fault: faultinject.Short, Share: 1})
+			for range 5 {
+				ids := newIDs(4)
+				begun := time.Now()
+				f.judge(ids, f.sendAll(f.dial(), ids))
+				if took := time.Since(begun); took > faultyDeadline {
+					t.Errorf("the answers took %v", took)
+				}
+			}
+		})
+	}
+}
+
+// Guards against connections that are left in the listener's queue: each error of accept but two counted
+// as a lack of descriptors, and the places for clients were taken away for seconds.
+func TestConnectionsAreTakenOnceAcceptSucceeds(t *testing.T) {
+	const prompt = 900 * time.Millisecond // the deadline of those that come while accept fails
+	for _, fault := range []string{"ECONNABORTED", "EINTR", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "EPERM"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			for range 8 { // these are busy: none of them makes room
+				id := newIDs(1)[0]
+				if err := f.dial().Send(standin.Lookup(hole, id, 20_000)...); err != nil {
+					t.Fatal(err)
+				}
+				for f.effects.Of(id) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			f.set(faultinject.Rule{Call: faultinject.Accept, Fault: fault, Share: 1, Most: 5})
+			begun := time.Now()
+			f.takesClients(30)
+			if took := time.Since(begun); took > prompt {
+				t.Errorf("the answers took %v, want %v at most", took, prompt)
+			}
+		})
+	}
+}
+
+// takesClients has so many clients connect at once, each with a request that holds its connection.
+func (f *faulty) takesClients(n int) {
+	f.Helper()
+	ids, outcomes := newIDs(n), make([]standin.Outcome, n)
+	var all sync.WaitGroup
+	for i := range ids {
+		c := f.dial() // all are held to the end: none makes room for another
+		all.Go(func() { outcomes[i] = f.sendAll(c, ids[i:i+1])[0] })
+	}
+	all.Wait()
+	f.judge(ids, outcomes)
+}
+
+// Guards against requests that are reset with the listener: the last look at its queue ended with the
+// first error of accept.
+func TestStopTakesWhatWaitsThoughAcceptFails(t *testing.T) {
+	f := startFaulty(t)
+	f.set(faultinject.Rule{Call: faultinject.Accept, Fault: "ENOBUFS", Share: 1})
+	ids, outcomes := newIDs(10), make([]standin.Outcome, 10)
+	var all sync.WaitGroup
+	for i := range ids {
+		c := f.dial()
+		all.Go(func() { outcomes[i] = f.sendAll(c, ids[i:i+1])[0] })
+	}
+	if err := f.Cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(600 * time.Millisecond) // how long the fault lasts: past the listener's usual end
+	f.set()
+	all.Wait()
+	f.judge(ids, outcomes)
+	if err := f.Stop(patience); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against connections that are closed over a request because the poller could not take them.
+func TestConnectionsThatCannotBeWatchedAreServedLater(t *testing.T) {
+	for _, fault := range []string{"ENOMEM", "ENOSPC"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			f.set(faultinject.Rule{Call: faultinject.Watch, Fault: fault, Share: 1, Most: 5})
+			f.takesClients(10)
+		})
+	}
+}
+
+// Guards against answers that are dropped with their connection, because the system could not take them
+// for a moment.
+func TestAnswersAreWrittenOnceTheSystemTakesThem(t *testing.T) {
+	for _, fault := range []string{"ENOBUFS", "ENOMEM", "EAGAIN", "EINTR", faultinject.Short} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			for range 5 {
+				ids := newIDs(4)
+				c := f.dial()
+				f.set(faultinject.Rule{Call: faultinject.WriteClient, Fault: fault, Share: 1, Most: 3})
+				f.judge(ids, f.sendAll(c, ids))
+			}
+		})
+	}
+}
+
+// Guards against requests that fail or run twice because the system could not send them for a moment.
+func TestRequestsAreSentOnceTheSystemTakesThem(t *testing.T) {
+	for _, c := range []struct {
+		call  faultinject.Call
+		fault string
+	}{
+		{faultinject.Socket, "ENFILE"}, {faultinject.Socket, "ENOBUFS"}, {faultinject.Connect, "EADDRNOTAVAIL"}, {faultinject.Connect, "ENETUNREACH"},
+		{faultinject.Connect, "ENOBUFS"}, {faultinject.WriteBackend, "ENOBUFS"}, {faultinject.WriteBackend, "EAGAIN"},
+		{faultinject.WriteBackend, faultinject.Short}, {faultinject.Watch, "ENOMEM"}, {faultinject.Poll, "EINTR"},
+	} {
+		t.Run(fmt.Sprint(c.call, " ", c.fault), func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			client := f.dial()
+			f.judge([]string{"0" + standin.NewID()[1:]}, []standin.Outcome{standin.Served})
+			f.set(faultinject.Rule{Call: c.call, Fault: c.fault, Share: 1, Most: 6})
+			ids := newIDs(4)
+			f.judge(ids, f.sendAll(client, ids))
+		})
+	}
+}
+
+// Guards against requests that hang or run twice when connections to backends break: each error of the
+// system ends the connection, and each request gets its final answer.
+func TestBrokenConnectionsToBackendsLoseNothing(t *testing.T) {
+	for _, fault := range []string{"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			for _, call := range []faultinject.Call{faultinject.ReadBackend, faultinject.WriteBackend} {
+				f.set(faultinject.Rule{Call: call, Fault: fault, Share: 0.5, Broken: true})
+				ids := newIDs(20)
+				for i, got := range f.sendAll(f.dial(), ids) {
+					if got > standin.Failed {
+						t.Errorf("%s under %s ended as %d (3 unsent, 4 lost, 5 wrong)", ids[i], call, got)
+					}
+				}
+			}
+			f.once()
+		})
+	}
+}
+
+// Guards against a new configuration that is lost because its file could not be read when SIGHUP came.
+func TestReloadOutlivesAFileThatCannotBeRead(t *testing.T) {
+	for _, fault := range []faultinject.Rule{
+		{Call: faultinject.Open, Path: configName, Fault: "EIO", Share: 1}, {Call: faultinject.Open, Path: configName, Fault: "ENFILE", Share: 1},
+		{Call: faultinject.Open, Path: configName, Fault: "ENOMEM", Share: 1}, {Call: faultinject.ReadFile, Path: configName, Fault: "EIO", Share: 1},
+	} {
+		t.Run(fmt.Sprint(fault.Call, " ", fault.Fault), func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			second := standin.NewDiscovery(f.member)
+			t.Cleanup(second.Stop)
+			second.Open()
+			f.node.Discovery = second.Addr()
+			if _, err := f.node.Write(f.dir); err != nil {
+				t.Fatal(err)
+			}
+			f.set(fault)
+			if err := f.Cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(500 * time.Millisecond) // how long the fault lasts
+			f.set()
+			select {
+			case <-second.Watched:
+			case <-time.After(4 * time.Second): // from SIGHUP on, what the new address tells counts as told
+				t.Error("discovery has not moved")
+			}
+		})
+	}
+}
+
+// Guards against a start that ends the process because a call failed for a moment.
+func TestStartOutlivesCallsThatFail(t *testing.T) {
+	for _, fault := range []faultinject.Rule{
+		{Call: faultinject.ReadFile, Path: configName, Fault: "EIO", Share: 1, Most: 3},
+		{Call: faultinject.Open, Path: configName, Fault: "ENFILE", Share: 1, Most: 3},
+		{Call: faultinject.Socket, Fault: "ENOBUFS", Share: 1, Most: 3}, {Call: faultinject.Socket, Fault: "ENFILE", Share: 1, Most: 3},
+		// The Go runtime's own first call can't fail: it ends the process.
+		{Call: faultinject.Watch, Skip: 1, Fault: "ENOMEM", Share: 1, Most: 3},
+	} {
+		t.Run(fmt.Sprint(fault.Call, " ", fault.Fault), func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t, fault)
+			f.set()
+			f.takesClients(5)
+			if err := f.Stop(patience); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/cmd/wickarch/main_test.go
+++ b/cmd/wickarch/main_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"wickarch/internal/faultinject"
 	"wickarch/internal/standin"
 )
 
@@ -29,6 +30,7 @@
 )
 
 func TestMain(m *testing.M) {
+	faultinject.RunRole()
 	for name, role := range roles {
 		if value := os.Getenv(name); value != "" {
 			role(value)
--- /dev/null
+++ b/internal/faultinject/control.go
@@ -0,0 +1,64 @@
+package faultinject
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/exec"
+	"strconv"
+	"sync"
+)
+
+// Control sets the rules of one tracer.
+type Control struct {
+	mu  sync.Mutex
+	in  io.WriteCloser
+	out *bufio.Scanner
+}
+
+// Environment is what makes a command that runs a test binary, or another binary that
+// calls [RunRole], a tracer. program is what it runs; "" for the binary itself.
+// The rules are in force from the program's first moment, until others are set.
+func Environment(program string, seed uint64, rules ...Rule) ([]string, error) {
+	first, err := json.Marshal(Rules{rules})
+	if err != nil {
+		return nil, fmt.Errorf("faultinject: %w", err)
+	}
+	return []string{RoleVariable + "=" + RoleTracer, ProgramVariable + "=" + program, SeedVariable + "=" + strconv.FormatUint(seed, 10),
+		rulesVariable + "=" + string(first)}, nil
+}
+
+// NewControl connects to the tracer that cmd will run. It is called before the start.
+func NewControl(cmd *exec.Cmd) (*Control, error) {
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, fmt.Errorf("faultinject: %w", err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, fmt.Errorf("faultinject: %w", err)
+	}
+	return &Control{in: in, out: bufio.NewScanner(out)}, nil
+}
+
+// Set puts rules in force in place of those before, and waits until they are. It returns
+// how often each fault has been applied so far, by call and fault.
+func (c *Control) Set(rules ...Rule) (applied map[string]int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	line, err := json.Marshal(Rules{rules})
+	if err != nil {
+		return nil, fmt.Errorf("faultinject: %w", err)
+	}
+	if _, err = c.in.Write(append(line, '\n')); err != nil {
+		return nil, fmt.Errorf("faultinject: %w", err)
+	}
+	if !c.out.Scan() {
+		return nil, fmt.Errorf("faultinject: the tracer has ended: %w", c.out.Err())
+	}
+	if err = json.Unmarshal(c.out.Bytes(), &applied); err != nil {
+		return nil, fmt.Errorf("faultinject: %w", err)
+	}
+	return applied, nil
+}
--- /dev/null
+++ b/internal/faultinject/faultinject_test.go
@@ -0,0 +1,136 @@
+//go:build linux && amd64
+
+package faultinject
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// asEcho makes the test's own binary a program that answers lines on a connection.
+const asEcho = "FAULTINJECT_TEST_ECHO"
+
+func TestMain(m *testing.M) {
+	RunRole()
+	if os.Getenv(asEcho) != "" {
+		echo()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// echo accepts connections and answers each line with what the read of it gave.
+func echo() {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println("listen:", err)
+		os.Exit(1)
+	}
+	fmt.Fprintln(os.Stderr, ln.Addr())
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "accept:", err)
+			continue
+		}
+		go func() {
+			defer c.Close()
+			b := make([]byte, 100)
+			for {
+				n, err := c.Read(b)
+				if err != nil {
+					fmt.Fprintln(os.Stderr, "read:", err)
+					return
+				}
+				fmt.Fprintln(os.Stderr, "bytes:", n)
+			}
+		}()
+	}
+}
+
+// Guards against a tool that tells of faults which the program never met: errors and short
+// reads reach a real process, by rules that change while it runs.
+func TestRulesReachTheProgram(t *testing.T) {
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	env, err := Environment("", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Env = append(append(os.Environ(), env...), asEcho+"=1")
+	control, err := NewControl(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(log)
+	next := func() string {
+		t.Helper()
+		if !lines.Scan() {
+			t.Fatal("the program says no more")
+		}
+		return lines.Text()
+	}
+	addr := next()
+	if _, err = control.Set(Rule{Call: ReadClient, Fault: Short, Share: 1, Bytes: 2}); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err = c.Write([]byte("123")); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"bytes: 2", "bytes: 1"} {
+		if got := next(); got != want {
+			t.Errorf("the program read %q, want %q", got, want)
+		}
+	}
+	if _, err = control.Set(Rule{Call: Accept, Fault: "ENFILE", Share: 1, Most: 1}, Rule{Call: ReadClient, Fault: "EHOSTUNREACH", Share: 1, Broken: true}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = c.Write([]byte("4")); err != nil {
+		t.Fatal(err)
+	}
+	if got := next(); !strings.Contains(got, syscall.EHOSTUNREACH.Error()) {
+		t.Errorf("the program read %q, want a broken connection", got)
+	}
+	second, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if got := next(); !strings.Contains(got, "accept") || !strings.Contains(got, syscall.ENFILE.Error()) {
+		t.Errorf("the program said %q, want a failed accept", got)
+	}
+	applied, err := control.Set()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for call, n := range map[string]int{"accept ENFILE": 1, "read-client EHOSTUNREACH": 1} {
+		if applied[call] != n {
+			t.Errorf("%s was applied %d times, want %d: %v", call, applied[call], n, applied)
+		}
+	}
+	if err = cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	var ended *exec.ExitError
+	if err = cmd.Wait(); !errors.As(err, &ended) || ended.ExitCode() != exitSignal+int(syscall.SIGTERM) {
+		t.Errorf("ended with %v, want the program's end by SIGTERM", err)
+	}
+}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -40,6 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.Prepare != nil {
+		if err := n.Prepare(p.Cmd); err != nil {
+			return nil, fmt.Errorf("start: %w", err)
+		}
+	}
 	if err := p.Cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start: %w", err)
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 )
 
@@ -46,6 +47,9 @@
 	Settings  json.RawMessage `json:"settings"`
 	Known     json.RawMessage `json:"known,omitempty"` // a list as discovery tells it
 	Files     []*os.File      `json:"-"`               // that the program inherits, from descriptor 3 on
+
+	// Prepare is called with the command before its start; nil for nothing to prepare.
+	Prepare func(*exec.Cmd) error `json:"-"`
 }
 
 // Limits are what one ingress may use.
