Read a connection until it has nothing, not until a read is short

Callers saw requests with no answer, or their answers 2 s late, when reads of the ingress were cut short.

Cause: a read that gave less than the buffer holds was taken for a socket that is empty (client.read; conn.read towards backends). The poller tells each arrival once, so what such a read leaves is not looked at before more comes. A client that waits for its answer sends no more.

Both now read until the system says that they would have to wait, as the reactor's interface has always asked of its handlers.

Evidence: TestRequestsReadInPiecesAreAnswered failed before (five of five connections, three of four requests each with no answer) and passes, in 0.05 s.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -262,9 +262,7 @@
 		}
 		return
 	}
-	c.heldUp = false
-	// A short read has emptied the socket; what comes later is a new event.
-	c.readable = n == len(buf)
+	c.heldUp = false // readable stays: a read may give less than there is, and what it leaves is not told again
 	c.readAt = c.front.loop.Now() - waited
 	if len(c.half) > 0 {
 		c.half = c.half[:len(c.half)+n]
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -263,9 +263,6 @@
 		// worth more than the hope for the rest.
 		c.stallBy = c.pool.loop.Now() + answerStall
 		c.pool.loop.Set(&c.timer, min(c.stallBy, c.attempt.Deadline))
-		if n < len(buf) && !c.ended {
-			return // a short read has emptied the socket; an end is read as well
-		}
 	}
 }
 
