Take a refusal as proof only when nothing stands behind it on the connection

Cause: -BUSY proves that nothing has run unless more stands behind it; conn.read looked for that in the same read alone.

A refusal is now judged by all that the connection holds. Refusals are rare, so the further read costs nothing that counts.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -131,6 +131,24 @@
 	}
 }
 
+// Guards against payments that run twice: a refusal proves that nothing has run only if nothing stands
+// behind it, which a short read does not show.
+func TestRefusalWithMoreBehindItIsNotRepeated(t *testing.T) {
+	f := startFaulty(t)
+	f.set(faultinject.Rule{Call: faultinject.ReadBackend, Fault: faultinject.Short, Share: 1, Bytes: len("-BUSY\r\n")})
+	for range 5 {
+		id := newIDs(2)[1]
+		c := f.dial()
+		if err := c.Send(standin.Payment(unclear, id, int(faultyDeadline.Milliseconds()))...); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Outcome(id); got != standin.Failed {
+			t.Errorf("it ended as %d, want 2, failed", got)
+		}
+	}
+	f.once()
+}
+
 // Guards against connections that are left in the listener's queue: each error of accept but two counted
 // as a lack of descriptors, and the places for clients were taken away for seconds.
 func TestConnectionsAreTakenOnceAcceptSucceeds(t *testing.T) {
--- a/cmd/wickarch/idle_test.go
+++ b/cmd/wickarch/idle_test.go
@@ -48,6 +48,9 @@
 // large is the customer whose values are of 60 KB.
 const large = 777
 
+// unclear is the customer whose requests run and are answered by a refusal with a value behind it.
+const unclear = 778
+
 func start(t *testing.T, limits standin.Limits, own string) *site {
 	t.Helper()
 	s := around(t, limits)
@@ -87,6 +90,9 @@
 		case fmt.Sprintf("%016x", large):
 			s.effects.Run(r.ID())
 			r.Answer(strings.Repeat("x", 60_000))
+		case fmt.Sprintf("%016x", unclear):
+			s.effects.Run(r.ID())
+			r.Line("-BUSY\r\n*3\r\n$2\r\nok\r\n$-1\r\n$-1")
 		default:
 			work(r)
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -246,11 +246,8 @@
 			}
 			c.begin(reply, got[used:])
 			return
-		case used > 0 && reply.Status == choice.Refused && !repeats(got[used:], got[:used]):
-			// Half a line that came between requests, and the answer to this one
-			// behind it in the same line: it may have run.
-			c.pool.countViolation()
-			c.fail(choice.Error, CauseUnexpected, nil)
+		case used > 0 && reply.Status == choice.Refused:
+			c.refused(reply, got[:used], c.behind(got[used:]))
 			return
 		case used > 0:
 			c.answered(reply, len(got) > used)
@@ -266,6 +263,33 @@
 	}
 }
 
+// refused ends the attempt with a refusal, if that is all there is. Half a line that came between
+// requests may stand in the same line, with the answer to this one behind it: it may have run.
+func (c *conn) refused(r Reply, line, behind []byte) {
+	if !repeats(behind, line) {
+		c.pool.countViolation()
+		c.fail(choice.Error, CauseUnexpected, nil)
+		return
+	}
+	c.answered(r, len(behind) > 0)
+}
+
+// behind reads what stands behind an answer, of which some has been read already.
+func (c *conn) behind(some []byte) []byte {
+	all := slices.Clone(some)
+	var more [mostBehind]byte
+	for len(all) < mostBehind {
+		n, err := c.net.Read(more[:])
+		if err != nil {
+			break // nothing more, or an end
+		}
+		all = append(all, more[:n]...)
+	}
+	return all
+}
+
+const mostBehind = 256 // bytes read behind an answer, to tell whose it is
+
 // repeats tells whether what stands behind an answer is it once more, or a part of that.
 func repeats(behind, answer []byte) bool {
 	n := min(len(behind), len(answer))
