Give clients' places back once accept shows that descriptors are not short

Callers saw requests wait unread for up to 4 s, past their deadlines, after accept had failed for some milliseconds.

Cause: every error of accept but EAGAIN, EINTR and ECONNABORTED counted as a lack of descriptors of the process. The places for clients fell to what was open, and came back one, two, four a second. A process with eight busy connections took no ninth. Errors of the network that accept passes on (EPROTO, ENETDOWN, EHOSTUNREACH, EPERM) did the same, though the next connection in the queue was well.

syserror.go now tells what an error of accept says: of this call, of a shortage, or nothing. Those of one connection go on to the next. After a shortage one connection is tried beyond the places, at growing pauses up to 80 ms; if more are held then than at the failure, it was not what the process holds that was short, and all places come back at once. A real lack keeps its smaller number.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -312,6 +312,15 @@
 
 const growParts = 64
 
+// Restore takes all shrinking back: descriptors have turned out not to be short.
+func (c *Controller[T]) Restore() {
+	c.step = 0
+	c.set(c.want.Places)
+}
+
+// Shrunk tells whether there are fewer places than the limits allow.
+func (c *Controller[T]) Shrunk() bool { return c.limits.Places < c.want.Places }
+
 // set changes the places. The other limits keep their shares of them: a floor as
 // high as all places would let nobody in.
 func (c *Controller[T]) set(places int) {
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -13,9 +13,10 @@
 
 const (
 	acceptRetry  = 5 * time.Millisecond
-	growAfter    = time.Second // without a failed accept, for one place back
-	acceptBatch  = 64          // connections taken before the others have their turn
-	partBatch    = 64          // connections closed that their clients have ended, likewise
+	trialMost    = 80 * time.Millisecond // between two looks whether descriptors are short still, at most
+	growAfter    = time.Second           // without a failed accept, for one place back
+	acceptBatch  = 64                    // connections taken before the others have their turn
+	partBatch    = 64                    // connections closed that their clients have ended, likewise
 	pacePause    = time.Millisecond
 	readBatch    = 4 // reads from one connection before the others have theirs
 	sharedBuffer = 64 << 10
@@ -41,6 +42,9 @@
 	acceptable bool          // the listener may have more
 	retryAt    time.Duration // accept failed, or had its batch: not before then; 0 when not
 	growAt     time.Duration // a place is given back then; 0 when it has them all
+	trialAt    time.Duration // with no place left since a shortage: not tried again before then
+	trialWait  time.Duration // how long that waits
+	heldShort  int           // connections held at the last shortage
 	partAt     time.Duration // the next batch of those parting comes no sooner
 	draining   bool
 	waits      bool          // another process of this ingress takes the clients still
@@ -94,7 +98,8 @@
 
 // Next tells when there is something to do though nothing happens.
 func (f *front) Next() (at time.Duration, any bool) {
-	if len(f.again) > 0 || len(f.dirty) > 0 || f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && f.admission.HasRoom() {
+	takes := f.acceptable && f.ln != nil && !f.waits
+	if len(f.again) > 0 || len(f.dirty) > 0 || takes && f.retryAt == 0 && f.admission.HasRoom() {
 		return 0, true
 	}
 	earlier := func(t time.Duration, ok bool) {
@@ -105,6 +110,7 @@
 	earlier(f.admission.NextDue(f.waiting()))
 	earlier(f.retryAt, f.retryAt > 0)
 	earlier(f.growAt, f.growAt > 0)
+	earlier(f.trialAt, takes && f.admission.Shrunk())
 	earlier(f.partAt, len(f.parting) > 0)
 	return at, any
 }
@@ -209,13 +215,13 @@
 	f.closeParting(now)
 	f.accept(now)
 	f.admission.Due(now, f.waiting(), func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
-	if f.acceptable && f.admission.HasRoom() {
+	if f.acceptable {
 		f.accept(now) // in the places that have become free
 	}
 }
 
 func (f *front) accept(now time.Duration) {
-	for n := 0; f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && f.admission.HasRoom(); n++ {
+	for n := 0; f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && (f.admission.HasRoom() || f.tries(now)); n++ {
 		if n == acceptBatch {
 			f.retryAt = now + pacePause
 			return
@@ -224,19 +230,46 @@
 		switch {
 		case err == nil:
 			f.add(nc, now)
+			f.judgeShortage()
 		case errors.Is(err, reactor.ErrWait):
 			f.acceptable = false
-		default: // descriptors or memory have run out; the next ones wait in the queue
+		case errors.Is(err, reactor.ErrFiles): // the next ones wait in the queue
 			f.loop.events.acceptFailed(err)
 			f.shrink(now)
+		default:
+			f.loop.events.acceptFailed(err)
+			f.retryAt = now + acceptRetry
 		}
 	}
 }
 
+// tries tells whether a connection is to be taken beyond the places that a shortage has left: only
+// that shows whether it lasts.
+func (f *front) tries(now time.Duration) bool { return f.admission.Shrunk() && now >= f.trialAt }
+
+// judgeShortage gives the places back when more connections are held than when descriptors ran
+// out: what was short then was not what the process holds.
+func (f *front) judgeShortage() {
+	switch {
+	case !f.admission.Shrunk():
+	case f.heldNow() > f.heldShort:
+		f.admission.Restore()
+		f.growAt, f.trialAt, f.trialWait = 0, 0, 0
+	case !f.admission.HasRoom():
+		f.trialAt = f.loop.Now() + f.trialWait
+	}
+}
+
+// heldNow is how many connections the process holds.
+func (f *front) heldNow() int { return len(f.clients) + f.loop.pool.Open() }
+
 // shrink takes note that descriptors have run out: the admission controller keeps to what there
 // is, and closes one at rest in place of what was wanted.
 func (f *front) shrink(now time.Duration) {
 	f.admission.Shrink()
+	f.heldShort = f.heldNow()
+	f.trialWait = min(max(acceptRetry, 2*f.trialWait), trialMost)
+	f.trialAt = now + f.trialWait
 	f.retryAt, f.growAt = now+acceptRetry, now+growAfter
 	f.admission.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 }
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -33,8 +33,10 @@
 	// ErrWait tells that there is nothing to read, or that no more can be
 	// written, until the next event.
 	ErrWait = errors.New("would have to wait")
-	// ErrFiles tells that descriptors have run out.
+	// ErrFiles tells that descriptors or memory have run out, of the process or of the whole system.
 	ErrFiles = errors.New("no descriptor is left")
+	// ErrBusy tells that the system can't do it now, for no lack that the process could help.
+	ErrBusy = errors.New("the system can't do it now")
 )
 
 // Handler is told what happens on one connection or listener.
@@ -68,8 +70,9 @@
 
 // Listener takes connections at an address.
 type Listener interface {
-	// Accept takes one connection. It returns ErrWait when none waits, and
-	// ErrFiles when descriptors or memory have run out: if one waits, it waits on then.
+	// Accept takes one connection. It returns ErrWait when none waits, ErrFiles when
+	// descriptors or memory have run out, and ErrBusy when the system gives none for another
+	// reason: if one waits, it waits on then.
 	Accept() (Conn, error)
 	// Waiting tells whether a connection waits. Without a descriptor the system's
 	// Accept fails before it looks.
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -340,23 +340,28 @@
 	if l.fd < 0 || l.inherited && !l.waiting() {
 		return nil, ErrWait
 	}
-	for {
-		fd, _, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		switch err {
-		case nil:
+	var err error
+	for range acceptTries {
+		var fd int
+		fd, _, err = syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		switch acceptVerdict(err) {
+		case verdictOK:
 			if l.each {
 				_ = setOptions(fd) // those that this one does not know it need not have
 			}
 			return &socket{world: l.world, fd: fd}, nil
-		case syscall.EAGAIN:
+		case verdictWait:
 			return nil, ErrWait
-		case syscall.EINTR, syscall.ECONNABORTED:
-		default:
-			return nil, ErrFiles
+		case verdictShortage:
+			return nil, shortage("accept", err)
 		}
 	}
+	return nil, fmt.Errorf("accept: %w (%w)", ErrBusy, err)
 }
 
+// acceptTries is how many connections in a row may turn out to be broken before others have their turn.
+const acceptTries = 64
+
 func (l *listener) Waiting() bool {
 	if l.fd < 0 {
 		return false
--- /dev/null
+++ b/internal/reactor/syserror.go
@@ -0,0 +1,47 @@
+//go:build linux
+
+package reactor
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
+
+// verdict is what the error of a system call tells. An error that tells of one call, or of the
+// system at one moment, says nothing of the connection or listener that it was made on.
+type verdict uint8
+
+const (
+	verdictOK       verdict = iota
+	verdictWait             // nothing can be done now; the poller tells when
+	verdictAgain            // this one call, or what it would have given: the next may succeed at once
+	verdictShortage         // descriptors, memory, buffers or ports are short for now
+	verdictOver             // the connection, or what was to be connected to
+)
+
+// acceptVerdict judges an error of accept. Errors of the network that wait on a connection are passed
+// on by it, and the next connection is another (accept(2)).
+func acceptVerdict(err error) verdict {
+	switch errnoOf(err) {
+	case 0:
+		return verdictOK
+	case syscall.EAGAIN:
+		return verdictWait
+	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM:
+		return verdictShortage
+	}
+	return verdictAgain
+}
+
+// errnoOf takes the number out of an error of package syscall; 0 for nil.
+func errnoOf(err error) syscall.Errno {
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
+		return errno
+	}
+	return 0
+}
+
+// shortage is the error of a call that the system has no means for now.
+func shortage(call string, err error) error { return fmt.Errorf("%s: %w (%w)", call, ErrFiles, err) }
