Keep the listener at a stop until accept shows that nothing waits there

Callers saw connections reset at a stop, with requests on them that nobody had read, while accept failed for a moment.

Cause: the last look at the listener's queue ended with the first error of accept, whichever it was, and the listener was closed with connections in it.

What is taken after the end of the taking of requests is read once and ended behind its answers, as the others are; a request's time counts from when it came.

Evidence: TestStopTakesWhatWaitsThoughAcceptFails failed with all ten connections reset; it passes, as do the tests of stops and hand-overs.

--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -46,7 +46,9 @@
 	trialWait  time.Duration // how long that waits
 	heldShort  int           // connections held at the last shortage
 	partAt     time.Duration // the next batch of those parting comes no sooner
+	lastLook   bool          // the listener closes once nothing waits in its queue
 	draining   bool
+	finished   bool          // takes no request but those that have come
 	waits      bool          // another process of this ingress takes the clients still
 	empty      chan struct{} // closed when no further connection is taken and none is left
 }
@@ -98,7 +100,7 @@
 
 // Next tells when there is something to do though nothing happens.
 func (f *front) Next() (at time.Duration, any bool) {
-	takes := f.acceptable && f.ln != nil && !f.waits
+	takes := f.acceptable && f.ln != nil && !f.waits && !f.lastLook
 	if len(f.again) > 0 || len(f.dirty) > 0 || takes && f.retryAt == 0 && f.admission.HasRoom() {
 		return 0, true
 	}
@@ -215,12 +217,16 @@
 	f.closeParting(now)
 	f.accept(now)
 	f.admission.Due(now, f.waiting(), func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
-	if f.acceptable {
+	if f.acceptable && !f.lastLook {
 		f.accept(now) // in the places that have become free
 	}
 }
 
 func (f *front) accept(now time.Duration) {
+	if f.lastLook {
+		f.takeRest(now)
+		return
+	}
 	for n := 0; f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && (f.admission.HasRoom() || f.tries(now)); n++ {
 		if n == acceptBatch {
 			f.retryAt = now + pacePause
@@ -289,6 +295,9 @@
 	f.clients = append(f.clients, c)
 	f.admission.Admit(&c.place, now)
 	c.arm()
+	if f.finished { // it has waited in the queue: what it holds is all that is taken
+		c.finish()
+	}
 }
 
 // leave forgets a connection that is closed.
@@ -328,11 +337,32 @@
 	if f.ln == nil {
 		return
 	}
-	if f.cfg.Passed == "" && !f.waits {
-		for nc, err := f.ln.Accept(); err == nil; nc, err = f.ln.Accept() {
-			f.add(nc, f.loop.Now())
+	if f.cfg.Passed != "" || f.waits {
+		f.endListener()
+		return
+	}
+	f.lastLook = true
+	f.takeRest(f.loop.Now())
+}
+
+// takeRest takes all that waits, and closes the listener once nothing does. While accept fails it is
+// tried again.
+func (f *front) takeRest(now time.Duration) {
+	for f.retryAt == 0 && f.ln != nil {
+		nc, err := f.ln.Accept()
+		switch {
+		case err == nil:
+			f.add(nc, now)
+		case errors.Is(err, reactor.ErrWait):
+			f.endListener()
+		default:
+			f.loop.events.acceptFailed(err)
+			f.retryAt = now + acceptRetry
 		}
 	}
+}
+
+func (f *front) endListener() {
 	f.ln.Close()
 	f.ln = nil
 }
@@ -341,6 +371,7 @@
 // then each connection ends. What is taken later could not be answered in full
 // before the process has to be gone, and clients send for as long as they may.
 func (f *front) finish() {
+	f.finished = true
 	for _, c := range slices.Clone(f.clients) {
 		c.finish()
 	}
