Keep a connection that the poller can't watch yet, and try again

Callers saw new connections end with no answer while epoll_ctl failed with ENOMEM or ENOSPC.

Cause: front.add closed a connection that could not be watched, with the request that may lie in it: an error of the poller was taken for an end of the connection.

--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -27,12 +27,11 @@
 	closedFinished                       // the process ends
 	closedValueBroken                    // a large value broke off on its way
 	closedEnded                          // it had been ended by us, and its time to read on is over
-	closedUnwatched                      // the poller could not take it
 	closeReasons
 )
 
 var closeReasonNames = [closeReasons]string{"client", "read-failed", "write-failed", "slow-reader", "unread", "malformed", "wrong", "silent",
-	"half", "no-memory", "idle", "draining", "finished", "value-broken", "ended", "unwatched"}
+	"half", "no-memory", "idle", "draining", "finished", "value-broken", "ended"}
 
 func (r closeReason) String() string { return closeReasonNames[r] }
 
@@ -47,6 +46,7 @@
 	ends          [upstream.Causes]uint64
 	retries       uint64
 	acceptsFailed uint64
+	watchesFailed uint64
 	details       *slog.Logger // nil: counts alone
 }
 
@@ -115,6 +115,14 @@
 	}
 }
 
+// watchFailed notes that the poller could not take a connection.
+func (e *eventLog) watchFailed(c *client, err error) {
+	e.watchesFailed++
+	if e.details != nil {
+		e.details.Info("watch failed", "connection", c.number, "error", err)
+	}
+}
+
 // phase notes a step of the process's end.
 func (e *eventLog) phase(name string) {
 	if e.details != nil {
@@ -132,7 +140,7 @@
 	for cause, n := range e.ends {
 		b = fmt.Appendf(b, " %s=%d", upstream.Cause(cause), n)
 	}
-	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d\n", e.retries, e.acceptsFailed)
+	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d watches-failed=%d\n", e.retries, e.acceptsFailed, e.watchesFailed)
 }
 
 // statusName names the end of an attempt.
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -35,6 +35,7 @@
 	parting   []*client // at rest, and ended by their clients; closed in batches
 	again     []*client // have more to read than their turn allows
 	dirty     []*client // may have answers to write
+	unwatched []*client // accepted, and the poller could not take them yet
 	stalled   list.List // of *client: wait for their clients to read on, the longest first
 	held      int       // bytes of answers that these are due
 	accepted  uint64    // connections so far
@@ -92,7 +93,7 @@
 	}
 	f.admitAndClose()
 	f.flush()
-	if f.ln == nil && len(f.clients) == 0 && f.empty != nil {
+	if f.ln == nil && len(f.clients)+len(f.unwatched) == 0 && f.empty != nil {
 		close(f.empty)
 		f.empty = nil
 	}
@@ -215,6 +216,7 @@
 		}
 	}
 	f.closeParting(now)
+	f.watchAgain(now)
 	f.accept(now)
 	f.admission.Due(now, f.waiting(), func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 	if f.acceptable && !f.lastLook {
@@ -227,6 +229,9 @@
 		f.takeRest(now)
 		return
 	}
+	if len(f.unwatched) > 0 { // the poller could take no further one either
+		return
+	}
 	for n := 0; f.acceptable && f.ln != nil && !f.waits && f.retryAt == 0 && (f.admission.HasRoom() || f.tries(now)); n++ {
 		if n == acceptBatch {
 			f.retryAt = now + pacePause
@@ -253,6 +258,18 @@
 // that shows whether it lasts.
 func (f *front) tries(now time.Duration) bool { return f.admission.Shrunk() && now >= f.trialAt }
 
+// watchAgain has the poller watch the connections that it could not take.
+func (f *front) watchAgain(now time.Duration) {
+	if f.retryAt > 0 {
+		return
+	}
+	waiting := f.unwatched
+	f.unwatched = nil
+	for _, c := range waiting {
+		f.begin(c, now)
+	}
+}
+
 // judgeShortage gives the places back when more connections are held than when descriptors ran
 // out: what was short then was not what the process holds.
 func (f *front) judgeShortage() {
@@ -267,7 +284,7 @@
 }
 
 // heldNow is how many connections the process holds.
-func (f *front) heldNow() int { return len(f.clients) + f.loop.pool.Open() }
+func (f *front) heldNow() int { return len(f.clients) + len(f.unwatched) + f.loop.pool.Open() }
 
 // shrink takes note that descriptors have run out: the admission controller keeps to what there
 // is, and closes one at rest in place of what was wanted.
@@ -283,14 +300,21 @@
 // add serves a new connection.
 func (f *front) add(nc reactor.Conn, now time.Duration) {
 	f.accepted++
-	c := &client{front: f, net: nc, number: f.accepted, index: len(f.clients), readBy: now + firstPatience, timed: true}
+	c := &client{front: f, net: nc, number: f.accepted}
 	c.place.Owner, c.timer.Owner = c, c
-	if err := nc.Watch(c); err != nil {
-		f.loop.events.closed(c, closedUnwatched, err)
-		nc.Close()
+	f.begin(c, now)
+}
+
+// begin has the poller watch a connection and serves it. Where the poller can't, the connection waits:
+// it may hold a request by now.
+func (f *front) begin(c *client, now time.Duration) {
+	if err := c.net.Watch(c); err != nil {
+		f.loop.events.watchFailed(c, err)
+		f.unwatched = append(f.unwatched, c)
 		f.shrink(now)
 		return
 	}
+	c.index, c.readBy, c.timed = len(f.clients), now+firstPatience, true
 	f.loop.events.opened(c)
 	f.clients = append(f.clients, c)
 	f.admission.Admit(&c.place, now)
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -113,7 +113,7 @@
 	}
 	k.tag = s.tag
 	if err := s.poller.Add(k.fd, k.tag); err != nil {
-		return ErrFiles
+		return shortage("watch", err)
 	}
 	s.byFD[k.fd] = k
 	return nil
