Try a write or read again after an error that says nothing of the connection

Callers saw their connection closed with all its answers when sendto failed once with ENOBUFS or ENOMEM. With EAGAIN for want of memory, requests and answers waited for ever: the poller tells of room only where room was missing.

Cause: every errno but EAGAIN and EINTR was taken for the end of the connection, and every EAGAIN for the promise of an event.

transferVerdict tells which errors speak of the connection. Clients, backends and the second address have it from the reactor alike.

--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -17,6 +17,7 @@
 	"unsafe"
 
 	"wickarch/internal/poll"
+	"wickarch/internal/timewheel"
 )
 
 const (
@@ -34,10 +35,11 @@
 
 // Sockets is the world of the system's sockets.
 type Sockets struct {
-	poller *poll.Poller
-	began  time.Time
-	byFD   []*socket
-	tag    int32
+	poller  *poll.Poller
+	began   time.Time
+	byFD    []*socket
+	tag     int32
+	retries *timewheel.Wheel[*retry]
 }
 
 // NewSockets makes a world. It fails when descriptors have run out.
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Sockets{poller: p, began: time.Now()}, nil
+	return &Sockets{poller: p, began: time.Now(), retries: timewheel.New[*retry](Resolution)}, nil
 }
 
 // Now is the time since the world was made.
@@ -76,13 +78,20 @@
 
 // Wait waits for events and tells their handlers.
 func (s *Sockets) Wait(until time.Duration, any bool) error {
+	if due, some := s.retries.Next(); some && (!any || due < until) {
+		until, any = due, true
+	}
 	at := time.Time{}
 	if any {
 		if at = s.began.Add(until); until <= s.Now() {
 			at = longAgo
 		}
 	}
-	return s.poller.Wait(at, s.event)
+	if err := s.poller.Wait(at, s.event); err != nil {
+		return err
+	}
+	s.retries.Advance(s.Now(), tellRetry)
+	return nil
 }
 
 func (s *Sockets) event(fd int, tag int32, e poll.Event) {
@@ -125,6 +134,7 @@
 	handler Handler
 	fd      int       // -1 once closed
 	ln      *listener // of which it is the watched part; nil for a connection
+	retry   *retry    // nil until a call has failed for want of means
 	tag     int32
 }
 
@@ -138,14 +148,19 @@
 func (k *socket) Read(b []byte) (int, error) {
 	for {
 		n, _, e := syscall.RawSyscall(syscall.SYS_READ, uintptr(k.fd), uintptr(unsafe.Pointer(unsafe.SliceData(b))), uintptr(len(b)))
-		switch {
-		case e == 0 && n == 0:
-			return 0, io.EOF
-		case e == 0:
+		switch transferVerdict(e) {
+		case verdictOK:
+			k.succeeded(Readable)
+			if n == 0 {
+				return 0, io.EOF
+			}
 			return int(n), nil
-		case e == syscall.EAGAIN:
+		case verdictWait:
 			return 0, ErrWait
-		case e != syscall.EINTR:
+		case verdictShortage:
+			k.tellAgain(Readable, retryShort)
+			return 0, ErrWait
+		case verdictOver:
 			return 0, e
 		}
 	}
@@ -156,13 +171,17 @@
 		rest := b[written:]
 		n, _, e := syscall.RawSyscall6(syscall.SYS_SENDTO, uintptr(k.fd), uintptr(unsafe.Pointer(unsafe.SliceData(rest))), uintptr(len(rest)),
 			syscall.MSG_NOSIGNAL, 0, 0)
-		switch e {
-		case 0:
+		switch transferVerdict(e) {
+		case verdictOK:
 			written += int(n)
-		case syscall.EINTR:
-		case syscall.EAGAIN:
+			k.succeeded(Writable)
+		case verdictWait:
+			k.tellAgain(Writable, retryBlocked)
 			return written, ErrWait
-		default:
+		case verdictShortage:
+			k.tellAgain(Writable, retryShort)
+			return written, ErrWait
+		case verdictOver:
 			return written, e
 		}
 	}
@@ -204,6 +223,9 @@
 		return
 	}
 	_ = syscall.Close(k.fd)
+	if k.retry != nil {
+		k.world.retries.Stop(&k.retry.timer)
+	}
 	if k.fd < len(k.world.byFD) && k.world.byFD[k.fd] == k {
 		k.world.byFD[k.fd] = nil
 	}
--- a/internal/reactor/syserror.go
+++ b/internal/reactor/syserror.go
@@ -34,6 +34,21 @@
 	return verdictAgain
 }
 
+// transferVerdict judges an error of a read or write on a connection.
+func transferVerdict(errno syscall.Errno) verdict {
+	switch errno {
+	case 0:
+		return verdictOK
+	case syscall.EAGAIN:
+		return verdictWait
+	case syscall.EINTR:
+		return verdictAgain
+	case syscall.ENOBUFS, syscall.ENOMEM:
+		return verdictShortage
+	}
+	return verdictOver
+}
+
 // errnoOf takes the number out of an error of package syscall; 0 for nil.
 func errnoOf(err error) syscall.Errno {
 	var errno syscall.Errno
