Read a new configuration again until it can be read

Operators saw an ingress stay with the old address of discovery after SIGHUP, when its file could not be read in that moment; what the new address told counted, and drained backends went on getting requests.

Cause: reread gave up at once on every error but a lack of descriptors. The signal is all that tells of the change, so what it asked for was lost.

The file is now read again at pauses from 20 ms to 1 s until it can be read, or the next signal comes.

--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"wickarch/internal/config"
 	"wickarch/internal/follower"
@@ -75,32 +74,14 @@
 		srv.Beside(func(ctx context.Context) { f.Run(ctx, ingress.Configurable{Server: srv}) })
 	}
 	slog.Info("serving", "name", cfg.Name, "address", srv.Addr())
-	go func() {
-		for range reload {
-			if next, err := reread(); err != nil {
-				slog.Error("the configuration stays as it was", "error", err)
-			} else {
-				slog.Info("configuration read again", "discovery", next.Discovery)
-				srv.Reload(next)
-			}
+	go followSignals(reload, func() error {
+		next, err := ingress.LoadConfig(os.Getenv)
+		if err != nil {
+			return err
 		}
-	}()
+		slog.Info("configuration read again", "discovery", next.Discovery)
+		srv.Reload(next)
+		return nil
+	})
 	return srv.Serve(ctx)
 }
-
-// reread reads the configuration again. Descriptors may have run out for a
-// moment: a reload that gave up at once would be lost.
-func reread() (cfg ingress.Config, err error) {
-	for range reloadTries {
-		if cfg, err = ingress.LoadConfig(os.Getenv); !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
-			return cfg, err
-		}
-		time.Sleep(reloadRetry)
-	}
-	return cfg, err
-}
-
-const (
-	reloadTries = 250
-	reloadRetry = 20 * time.Millisecond
-)
--- /dev/null
+++ b/cmd/wickarch/retry.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"time"
+)
+
+const (
+	firstPause   = 20 * time.Millisecond
+	longestPause = time.Second
+)
+
+// followSignals takes over the configuration at each signal. One that can't be read is read again until it
+// can, at growing pauses: it may be half written, or the system short of something.
+func followSignals(signals <-chan os.Signal, read func() error) {
+	for range signals {
+		pause := firstPause
+		for told := false; ; told = true {
+			err := read()
+			if err == nil {
+				break
+			}
+			if !told {
+				slog.Error("the configuration stays as it was until it can be read", "error", err)
+			}
+			select {
+			case <-signals:
+				pause = firstPause
+			case <-time.After(pause):
+				pause = min(2*pause, longestPause)
+			}
+		}
+	}
+}
