Outlive system calls that fail for a moment while the ingress starts

Operators saw an ingress end with exit code 1 at its start when one call failed: reading the configuration, socket, epoll_ctl.

Cause: an error of one moment was taken for one of the configuration.

The Go runtime's own first epoll_create1 and epoll_ctl can't be outlived: it ends the process.

--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -55,7 +55,7 @@
 	// Taken from the first moment on: by default SIGHUP ends the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := ingress.LoadConfig(os.Getenv)
+	cfg, err := atStart(func() (ingress.Config, error) { return ingress.LoadConfig(os.Getenv) })
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 	// Until the process has ended: were the signals let go when the last answer is written, a second SIGTERM
 	// would end an ingress that has done all it owes as if it had crashed.
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	srv, err := ingress.Listen(cfg)
+	srv, err := atStart(func() (*ingress.Server, error) { return ingress.Listen(cfg) })
 	if err != nil {
 		return err
 	}
