Wait for a port, buffer or route in place of failing the attempt at once

Callers were refused, and backends counted as failing, when connect said EADDRNOTAVAIL, EAGAIN, ENOBUFS or ENETUNREACH for some milliseconds: a request used up its four attempts within one moment, all for a want of the ingress's own.

Cause: such an error was taken as one of the backend.

It now waits as for a descriptor, at pauses from 2 to 64 ms, 126 ms in all, before the attempt ends as one that never ran. Errors that speak of the backend (ECONNREFUSED, EHOSTUNREACH, ETIMEDOUT) end it at once, as before.

Evidence: TestRequestsOutliveConnectThatFailsForAMoment failed in four of four cases (four attempts each, then -BUSY), and passes.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -5,7 +5,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,6 +32,7 @@
 type faulty struct {
 	*site
 	control *faultinject.Control
+	admin   string // its second address
 }
 
 // startFaulty starts the program with rules in force from its first moment.
@@ -45,7 +49,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.begin(nil, env...)
+	if f.admin, err = standin.Reserve(); err != nil {
+		t.Fatal(err)
+	}
+	f.begin(nil, append(env, "NODE_MGMT="+f.admin)...)
 	return f
 }
 
@@ -263,6 +270,47 @@
 	}
 }
 
+// Guards against requests that use up all their attempts within one moment, because the system had no
+// port, buffer or route for a connection: that is no fault of the backends'.
+func TestRequestsOutliveConnectThatFailsForAMoment(t *testing.T) {
+	for _, fault := range []string{"EADDRNOTAVAIL", "EAGAIN", "ENOBUFS", "ENETUNREACH"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			f.set(faultinject.Rule{Call: faultinject.Connect, Fault: fault, Share: 1, Most: 5})
+			ids := newIDs(2)[1:]
+			f.judge(ids, f.sendAll(f.dial(), ids))
+			if n := f.events("dial-failed"); n > 0 {
+				t.Errorf("%d attempts failed", n)
+			}
+		})
+	}
+}
+
+// events is a count of /status/events.
+func (f *faulty) events(name string) (n int) {
+	f.Helper()
+	answer, err := http.Get("http://" + f.admin + "/status/events")
+	if err != nil {
+		f.Fatal(err)
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, field := range strings.Fields(string(text)) {
+		if value, ok := strings.CutPrefix(field, name+"="); ok {
+			if n, err = strconv.Atoi(value); err != nil {
+				f.Fatal(err)
+			}
+			return n
+		}
+	}
+	f.Fatalf("%q is not told: %s", name, text)
+	return 0
+}
+
 // Guards against requests that hang or run twice when connections to backends break: each error of the
 // system ends the connection, and each request gets its final answer.
 func TestBrokenConnectionsToBackendsLoseNothing(t *testing.T) {
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -95,7 +95,9 @@
 	// descriptor N. Others may hold it as well: to close it ends our part alone.
 	Listen(address string, h Handler) (Listener, error)
 	// Dial begins a connection to "IP:port". It comes up with the event
-	// Writable, or ends with Gone. ErrFiles tells that descriptors have run out.
+	// Writable, or ends with Gone. ErrFiles tells that descriptors have run out, ErrBusy
+	// that the system has no port, buffer or route for it now: neither says anything of
+	// who is dialled.
 	Dial(address string, h Handler) (Conn, error)
 	// Wait waits until something happens, Wake is called or the time has come
 	// (if there is one), and tells the handlers.
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -247,11 +247,19 @@
 	}
 	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, files(err)
+		if socketVerdict(err) == verdictShortage {
+			return nil, shortage("socket", err)
+		}
+		return nil, fmt.Errorf("socket: %w", err)
 	}
 	k := &socket{world: s, handler: h, fd: fd}
 	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
-	if err := syscall.Connect(fd, sa); err != nil && err != syscall.EINPROGRESS && err != syscall.EINTR {
+	err = syscall.Connect(fd, sa)
+	switch connectVerdict(err) {
+	case verdictShortage:
+		_ = syscall.Close(fd)
+		return nil, fmt.Errorf("dial %s: %w (%w)", address, ErrBusy, err)
+	case verdictOver:
 		_ = syscall.Close(fd)
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -262,16 +270,6 @@
 	return k, nil
 }
 
-// files turns the errors of a lack of descriptors or memory into ErrFiles.
-func files(err error) error {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, e) {
-			return ErrFiles
-		}
-	}
-	return err
-}
-
 // listener takes connections.
 type listener struct {
 	socket
--- a/internal/reactor/syserror.go
+++ b/internal/reactor/syserror.go
@@ -34,6 +34,30 @@
 	return verdictAgain
 }
 
+// socketVerdict judges an error of socket.
+func socketVerdict(err error) verdict {
+	switch errnoOf(err) {
+	case 0:
+		return verdictOK
+	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM:
+		return verdictShortage
+	}
+	return verdictOver
+}
+
+// connectVerdict judges what connect says at once. An interrupted one goes on by itself (connect(2)).
+func connectVerdict(err error) verdict {
+	switch errnoOf(err) {
+	case 0:
+		return verdictOK
+	case syscall.EINPROGRESS, syscall.EINTR:
+		return verdictWait
+	case syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENETUNREACH, syscall.ENETDOWN:
+		return verdictShortage
+	}
+	return verdictOver
+}
+
 // transferVerdict judges an error of a read or write on a connection.
 func transferVerdict(errno syscall.Errno) verdict {
 	switch errno {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -65,9 +65,12 @@
 	p := c.pool
 	now := p.loop.Now()
 	nc, err := p.loop.Dial(c.to.addr, c)
-	if errors.Is(err, reactor.ErrFiles) && c.retry <= dialRetryMost {
-		// No fault of the backend's: clients at rest make room.
-		p.sink.Starved()
+	short := errors.Is(err, reactor.ErrFiles)
+	if (short || errors.Is(err, reactor.ErrBusy)) && c.retry <= dialRetryMost {
+		// No fault of the backend's.
+		if short { // clients at rest make room
+			p.sink.Starved()
+		}
 		c.state = waiting
 		p.loop.Set(&c.timer, min(now+c.retry, c.attempt.Deadline))
 		c.retry *= 2
