Look again where a look at a connection or listener was interrupted

Callers were refused, and connections to backends given up one after the other, while calls returned EINTR.

Cause: Pending took EINTR for something that has come, and the look at a listener took it for nobody that waits.

Both are repeated; a shortage in Pending says nothing and is left to the next Read.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -287,6 +287,21 @@
 	}
 }
 
+// Guards against connections that are taken for ended because a look at them was interrupted.
+func TestInterruptedCallsEndNoConnection(t *testing.T) {
+	f := startFaulty(t)
+	f.set(faultinject.Rule{Call: faultinject.ReadBackend, Fault: "EINTR", Share: 0.5}, faultinject.Rule{Call: faultinject.ReadClient, Fault: "EINTR", Share: 0.5},
+		faultinject.Rule{Call: faultinject.Poll, Fault: "EINTR", Share: 0.5})
+	c := f.dial()
+	for range 20 {
+		ids := newIDs(1)
+		f.judge(ids, f.sendAll(c, ids))
+	}
+	if n := f.events("refused"); n > 0 {
+		t.Errorf("%d connections to the backend were given up", n)
+	}
+}
+
 // events is a count of /status/events.
 func (f *faulty) events(name string) (n int) {
 	f.Helper()
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -190,9 +190,17 @@
 
 func (k *socket) Pending() bool {
 	var one [1]byte
-	_, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, uintptr(k.fd), uintptr(unsafe.Pointer(&one)), 1,
-		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
-	return e != syscall.EAGAIN
+	for {
+		_, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, uintptr(k.fd), uintptr(unsafe.Pointer(&one)), 1,
+			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		switch transferVerdict(e) {
+		case verdictAgain:
+			continue
+		case verdictWait, verdictShortage: // the latter says nothing; a Read tells again
+			return false
+		}
+		return true
+	}
 }
 
 // Waited asks for when the last segment with data came. The system tells it in
@@ -387,7 +395,7 @@
 		return false
 	}
 	n, e := l.look()
-	return e == 0 && n > 0
+	return e != 0 || n > 0 // where it can't be told, the next Accept will
 }
 
 // look tells how many of this one socket have a connection to be taken.
@@ -397,7 +405,9 @@
 		events, what int16
 	}{fd: int32(l.fd), events: syscall.EPOLLIN} // the same bit as POLLIN
 	var at syscall.Timespec // now
-	n, _, e = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&look)), 1, uintptr(unsafe.Pointer(&at)), 0, 0, 0)
+	for e = syscall.EINTR; e == syscall.EINTR; {
+		n, _, e = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&look)), 1, uintptr(unsafe.Pointer(&at)), 0, 0, 0)
+	}
 	return n, e
 }
 
