Date starts of backends by the wall clock of their time, through steps of it

A wall clock stepped back by an hour made each backend that started behind the step warm at once, so that it would get more than a cold one bears; a step forward made it cold for an hour.

Cause: discovery tells starts in Unix time, and loop.started turned them into the monotonic clock by the wall clock of the process's own start.

startClock looks at the wall clock whenever a list comes, keeps the eras between its steps, and takes the latest start that fits one. A start is resolved once; memory is bounded by the list. The other places that read a clock outside tests (found by grep, and read) take spans from the monotonic reading.

One test moves from the function that is gone to the one in its place, with the same bounds.

--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -91,12 +91,11 @@
 func TestStartOfABackendIsOnTheGatewaysClock(t *testing.T) {
 	r := newRig(t, nil, newBackend(t).member("b"))
 	r.ask(func(l *loop) {
-		if _, dated := l.started(0); dated {
+		if _, dated := l.started(Member{ID: "c"}); dated {
 			t.Error("0 is taken for a time")
 		}
-		now := time.Now()
-		at, dated := l.started(now.Add(-3 * time.Second).UnixMilli())
-		if age := now.Sub(l.Began()) - at; !dated || age < 2900*time.Millisecond || age > 3100*time.Millisecond {
+		at, dated := l.started(Member{ID: "c", UpSince: time.Now().Add(-3 * time.Second).UnixMilli()})
+		if age := l.Now() - at; !dated || age < 2900*time.Millisecond || age > 3100*time.Millisecond {
 			t.Errorf("the backend is %v old, want 3s", age)
 		}
 	})
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -46,6 +46,7 @@
 	settling bool
 	figures  figures
 	events   eventLog
+	starts   startClock
 	spare    *alarm // of the gateway's timers, to be used again
 	terms    *terms // nil while no version of configuration was in force
 }
@@ -304,6 +305,8 @@
 
 // members takes a list of backends from discovery.
 func (l *loop) members(kind choice.ListKind, list MemberList) {
+	now := l.Now()
+	l.starts.observe(now, l.Wall())
 	backends := make([]choice.Backend, 0, len(list.Members))
 	keys := make(map[uint32]uint64, len(list.Members)) // the gateway's numbers are its own
 	named := make(map[string]bool, len(list.Members))
@@ -333,14 +336,18 @@
 			ID: l.pool.Member(known), Zone: index(l.cfg.zones, m.Locality), Kind: index(l.cfg.kinds, m.Flavor),
 			Cell: m.Cell, State: state, Weight: m.Size,
 		}
-		b.Started, b.Dated = l.started(m.UpSince)
+		b.Started, b.Dated = l.started(m)
+		if state == choice.Removed {
+			l.starts.forget(m.ID)
+		}
 		keys[b.ID] = subset.KeyOf(m.ID)
 		backends = append(backends, b)
 	}
 	if kind != choice.Delta {
 		l.pool.Keep(named)
+		l.starts.keep(named)
 	}
-	l.fleet.Members(l.Now(), kind, backends, func(b choice.Backend) uint64 { return keys[b.ID] })
+	l.fleet.Members(now, kind, backends, func(b choice.Backend) uint64 { return keys[b.ID] })
 	l.settle()
 	l.checkReady()
 }
@@ -357,13 +364,12 @@
 	l.ready = l.ready || l.asked && l.pool.Serving()
 }
 
-// started turns the start of a backend, in Unix time, into the gateway's
-// clock. 0 stands for long ago.
-func (l *loop) started(unixMillis int64) (at time.Duration, dated bool) {
-	if unixMillis <= 0 {
+// started tells when a backend started, by the gateway's clock. 0 stands for long ago.
+func (l *loop) started(m Member) (at time.Duration, dated bool) {
+	if m.UpSince <= 0 {
 		return 0, false
 	}
-	return time.UnixMilli(unixMillis).Sub(l.Began()), true
+	return l.starts.started(m.ID, m.UpSince, l.Now()), true
 }
 
 // index is the place of a name in a list of the settings; a name that is not
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -88,8 +88,8 @@
 type World interface {
 	// Now is a monotonic clock that begins near 0.
 	Now() time.Duration
-	// Began is the wall clock at the zero of Now.
-	Began() time.Time
+	// Wall is the wall clock now. It may be stepped; Now is not.
+	Wall() time.Time
 	// Listen opens an address, "host:port"; port 0 takes a free one. On sockets,
 	// "fd:N" stands for the listening socket that the process inherited as
 	// descriptor N. Others may hold it as well: to close it ends our part alone.
--- a/internal/reactor/simnet/node.go
+++ b/internal/reactor/simnet/node.go
@@ -106,8 +106,8 @@
 	return time.Duration(float64(m.net.now-m.epoch) * m.Rate)
 }
 
-// Began is the wall clock at its start.
-func (m *Node) Began() time.Time { return m.began }
+// Wall is the wall clock now.
+func (m *Node) Wall() time.Time { return m.began.Add(m.Now()) }
 
 // networkTime turns a time of the program's clock into the network's.
 func (m *Node) networkTime(t time.Duration) time.Duration {
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -54,8 +54,8 @@
 // Now is the time since the world was made.
 func (s *Sockets) Now() time.Duration { return time.Since(s.began) }
 
-// Began is when the world was made.
-func (s *Sockets) Began() time.Time { return s.began }
+// Wall is the wall clock now.
+func (s *Sockets) Wall() time.Time { return time.Now().Round(0) } // without the monotonic reading
 
 // Wake ends the wait that is on, or the next one.
 func (s *Sockets) Wake() { s.poller.Wake() }
