Ask one place before a request is sent, repeated, refused or closed over

Whether a request was over, might be repeated or refused, or its connection closed stood in flags and order of calls of five files; a step against the rule would have been taken in silence.

Package lifecycle, without I/O, holds the rule as a state machine of one request. The loop asks it before an attempt begins, before its first byte, and before a final answer; connections and the process's end are put to it as well. A forbidden step is not taken (an attempt ends as one that never ran, a refusal becomes a failure), is logged and counted (violations in GET /status/events).

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"wickarch/internal/faultinject"
+	"wickarch/internal/lifecycle"
 	"wickarch/internal/standin"
 )
 
@@ -113,6 +114,20 @@
 		f.Errorf("of %d requests these were not served: %v (2 failed, 3 unsent, 4 lost, 5 wrong)", len(ids), bad)
 	}
 	f.once()
+	f.keepsTheRule()
+}
+
+// keepsTheRule wants the ingress to have counted no step that the rule on requests forbids.
+func (f *faulty) keepsTheRule() {
+	f.Helper()
+	if f.HasEnded() {
+		return
+	}
+	for v := lifecycle.None + 1; v < lifecycle.Violations; v++ {
+		if n := f.events(v.String()); n > 0 {
+			f.Errorf("violations of the rule on requests: %s, %d times", v, n)
+		}
+	}
 }
 
 // Guards against requests that nobody reads: a read that returned less than was there was taken for
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/redcon"
 
 	"wickarch/admission"
+	"wickarch/internal/lifecycle"
 	"wickarch/internal/reactor"
 	"wickarch/internal/resp"
 )
@@ -519,6 +520,9 @@
 // of that is read. A request that crosses the end of its connection unread is sent
 // anew by its client; one that was read would be taken, and lost.
 func (c *client) shut() {
+	if c.first != nil {
+		c.front.loop.violates(lifecycle.Close(c.pending, false), c.first.request)
+	}
 	c.front.loop.events.closed(c, c.why, nil)
 	c.net.CloseWrite()
 	c.closing = true
@@ -652,7 +656,11 @@
 	f.leave(c)
 	f.loop.Unset(&c.timer)
 	f.admission.Release(&c.place)
-	f.loop.gone(c.forsake())
+	open := c.forsake()
+	if len(open) > 0 {
+		f.loop.violates(lifecycle.Close(len(open), why.frees()), open[0])
+	}
+	f.loop.gone(open)
 }
 
 // breakOff ends the connection behind what has been written, and its open
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"wickarch/choice"
+	"wickarch/internal/lifecycle"
 	"wickarch/internal/upstream"
 )
 
@@ -35,6 +36,15 @@
 
 func (r closeReason) String() string { return closeReasonNames[r] }
 
+// frees tells whether the reason frees the ingress of the requests that are open on the connection.
+func (r closeReason) frees() bool {
+	switch r {
+	case closedByClient, closedReadFailed, closedWriteFailed, closedSlowReader, closedUnread, closedValueBroken:
+		return true
+	}
+	return false
+}
+
 var kindNames = [...]string{served: "served", refused: "refused", failed: "failed", known: "known"}
 
 func (k kind) String() string { return kindNames[k] }
@@ -47,6 +57,7 @@
 	retries       uint64
 	acceptsFailed uint64
 	watchesFailed uint64
+	violations    lifecycle.Counts
 	details       *slog.Logger // nil: counts alone
 }
 
@@ -73,7 +84,7 @@
 	e.ends[reply.Cause]++
 	if e.details != nil {
 		e.details.Info("attempt ended", "request", fmt.Sprintf("%016x", r.name), "attempt", a.Number, "backend", a.Backend,
-			"status", statusName(reply.Status), "cause", reply.Cause, "error", reply.Err, "over", r.over)
+			"status", statusName(reply.Status), "cause", reply.Cause, "error", reply.Err, "over", r.life.Over())
 	}
 }
 
@@ -87,7 +98,7 @@
 // abandoned notes a request whose client's connection has gone.
 func (e *eventLog) abandoned(r *request) {
 	if e.details != nil {
-		e.details.Info("request abandoned", "request", fmt.Sprintf("%016x", r.name), "attempts", len(r.attempts), "out", r.out)
+		e.details.Info("request abandoned", "request", fmt.Sprintf("%016x", r.name), "attempts", len(r.attempts), "out", r.life.Out())
 	}
 }
 
@@ -140,6 +151,12 @@
 	for cause, n := range e.ends {
 		b = fmt.Appendf(b, " %s=%d", upstream.Cause(cause), n)
 	}
+	b = append(b, "\nviolations"...)
+	for v, n := range e.violations {
+		if v := lifecycle.Violation(v); v != lifecycle.None {
+			b = fmt.Appendf(b, " %s=%d", v, n)
+		}
+	}
 	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d watches-failed=%d\n", e.retries, e.acceptsFailed, e.watchesFailed)
 }
 
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -90,6 +90,35 @@
 	}
 }
 
+// Guards against attempts for requests that have ended, whoever asks for them: the rule is asked last, and tells.
+func TestNoAttemptBeginsForARequestThatHasEnded(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, withAdmin, b.member("s-1"))
+	c := r.dial()
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	first := wait(t, "the attempt", b.Got)
+	r.ask(func(l *loop) {
+		for id, open := range l.requests {
+			backend := open.attempts[0].Backend
+			l.Fail(id)
+			l.Send(id, backend, time.Second)
+			l.settle()
+		}
+	})
+	c.want("-ERR failed")
+	first.Answer("late")
+	c.send("Q.ASK", anyone, newID(), lookup)
+	second := wait(t, "the next request", b.Got)
+	if second.Args[0] != "Q.ASK" {
+		t.Errorf("an attempt began behind the end: %q", second.Args)
+	}
+	second.Answer("one")
+	c.want("$3\r\none")
+	if _, text := r.adminCall("GET", "/status/events"); !strings.Contains(text, " begin-after-end=1 ") {
+		t.Errorf("it is not counted: %q", text)
+	}
+}
+
 // The figures are held against what the backend got and the clients were told.
 func TestFiguresAreWhatPeersSaw(t *testing.T) {
 	b := newBackend(t)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -7,6 +7,7 @@
 
 	"wickarch/choice"
 	"wickarch/internal/fleet"
+	"wickarch/internal/lifecycle"
 	"wickarch/internal/reactor"
 	"wickarch/internal/upstream"
 	"wickarch/subset"
@@ -47,8 +48,9 @@
 	figures  figures
 	events   eventLog
 	starts   startClock
-	spare    *alarm // of the gateway's timers, to be used again
-	terms    *terms // nil while no version of configuration was in force
+	rules    []lifecycle.Rules // by class
+	spare    *alarm            // of the gateway's timers, to be used again
+	terms    *terms            // nil while no version of configuration was in force
 }
 
 // kind is how a request ends for its client.
@@ -90,9 +92,8 @@
 	slot     slot // the answer's place, where the client speaks RESP
 	deadline time.Duration
 	sent     time.Duration // its first attempt
-	over     bool          // it has its final answer, or its client is gone
+	life     lifecycle.Request
 	attempts []*upstream.Attempt
-	out      int
 
 	initial upstream.Attempt // most need no other
 	list    [1]*upstream.Attempt
@@ -103,6 +104,7 @@
 		Loop: on, cfg: cfg, requests: map[uint32]*request{}, figures: figures{classes: make([]ClassFigures, len(cfg.Choice.Classes))},
 		memory: &memory{most: int64(cfg.Limits.MemoryMB) << 20 / heldShare},
 	}
+	l.rules = rulesOf(cfg.Choice)
 	if cfg.Own.Log.LogsRequests() {
 		l.events.details = slog.Default()
 	}
@@ -152,6 +154,7 @@
 	}
 	r.id = l.lastID
 	l.requests[r.id] = r
+	r.life = lifecycle.Request{Rules: &l.rules[r.class], Deadline: r.deadline}
 	l.figures.open++
 	now := l.Now()
 	if l.ids.add(r.name, now) {
@@ -195,7 +198,7 @@
 
 // forget drops a request that is over and has nothing out.
 func (l *loop) forget(r *request) {
-	if r.over && r.out == 0 && l.requests[r.id] == r {
+	if r.life.Over() && r.life.Out() == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		l.memory.give(r.size)
 	}
@@ -207,8 +210,7 @@
 		return
 	}
 	for _, r := range open {
-		if !r.over {
-			r.over = true
+		if r.life.Abandon() {
 			l.figures.open--
 			l.events.abandoned(r)
 			if len(r.attempts) == 0 {
@@ -239,11 +241,13 @@
 		return
 	}
 	r := a.Owner.(*request)
-	r.out--
+	if reply.Cause != upstream.CauseForbidden {
+		r.life.Ended(mayHaveRun(reply.Status))
+	}
 	l.events.ended(r, a, reply)
 	l.fleet.Ended()
 	if reply.Stream != nil {
-		if r.over {
+		if r.life.Over() {
 			reply.Stream.Close()
 		} else {
 			l.answer(r, outcome{kind: served, body: reply.Stream})
@@ -252,7 +256,7 @@
 		l.answer(r, outcome{kind: served, value: reply.Value})
 	}
 	l.gateway.Outcome(l.Now(), choice.Outcome{
-		ID: r.id, Attempt: a.Number, Backend: a.Backend, Status: reply.Status, Elapsed: elapsed, Over: r.over,
+		ID: r.id, Attempt: a.Number, Backend: a.Backend, Status: reply.Status, Elapsed: elapsed, Over: r.life.Over(),
 		Metered: reply.Metered, Used: reply.Used, Age: reply.Age, Load: reply.Load,
 	})
 	l.forget(r)
@@ -290,10 +294,16 @@
 
 // answer gives a request its one final answer.
 func (l *loop) answer(r *request, o outcome) {
-	if r == nil || r.over {
+	if r == nil {
+		return
+	}
+	give, wrong := r.life.Answer(o.kind == refused)
+	if !give {
 		return
 	}
-	r.over = true
+	if l.violates(wrong, r) {
+		o = outcome{kind: failed} // promises nothing
+	}
 	l.events.answered(r, o.kind)
 	l.withdraw(r) // a second copy that has not gone out yet
 	if o.body == nil {
@@ -400,12 +410,61 @@
 		r.sent = l.Now()
 	}
 	r.attempts = append(r.attempts, a)
-	r.out++
 	l.events.sent(r, a)
 	l.fleet.Sent()
+	if l.violates(r.life.Begin(l.Now()), r) {
+		l.pool.Forbid(a)
+		return
+	}
 	l.pool.Start(a)
 }
 
+// MayWrite is the last look before the first byte of an attempt.
+func (l *loop) MayWrite(a *upstream.Attempt) bool {
+	if a.Probe {
+		return true
+	}
+	r := a.Owner.(*request)
+	return !l.violates(r.life.Write(l.Now()), r)
+}
+
+// violates counts and logs a step that the rule on requests forbids. Whoever asked does not take it.
+func (l *loop) violates(v lifecycle.Violation, r *request) bool {
+	if !l.events.violations.Add(v) {
+		return false
+	}
+	name := uint64(0)
+	if r != nil {
+		name = r.name
+	}
+	slog.Error("a step that the rule on requests forbids was not taken", "violation", v, "request", fmt.Sprintf("%016x", name))
+	return true
+}
+
+// mayHaveRun tells what the end of an attempt says of it.
+func mayHaveRun(s choice.Status) bool {
+	return s != choice.Refused && s != choice.ConnectFailed && s != choice.Moot
+}
+
+// rulesOf are the rules of each class.
+func rulesOf(cfg choice.Config) (rules []lifecycle.Rules) {
+	mostOut := 1
+	if cfg.SecondCopies {
+		mostOut = 2
+	}
+	for _, c := range cfg.Classes {
+		r := lifecycle.Rules{Window: c.Window, Everywhere: c.Group == choice.GroupAll, MostOut: mostOut, MostInAll: cfg.MaxAttempts}
+		switch c.Effect {
+		case choice.Guarded:
+			r.Repeats = lifecycle.RunsOnceAway
+		case choice.SingleShot:
+			r.Repeats = lifecycle.RunsOnce
+		}
+		rules = append(rules, r)
+	}
+	return rules
+}
+
 // Refuse answers that trying again does no harm.
 func (l *loop) Refuse(id uint32, after time.Duration) {
 	l.answer(l.requests[id], outcome{kind: refused, after: after})
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,6 +8,7 @@
 	"wickarch/choice"
 	"wickarch/internal/front/admin"
 	"wickarch/internal/handover"
+	"wickarch/internal/lifecycle"
 	"wickarch/internal/reactor"
 )
 
@@ -254,6 +255,7 @@
 	select {
 	case <-empty:
 	case <-time.After(longest + lastAnswers):
+		s.loop.Do(func() { s.loop.violates(lifecycle.End(s.loop.figures.open), nil) })
 	}
 	return nil
 }
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// HasEnded tells whether the program has ended.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop sends SIGTERM and waits for the end. It returns what the program ended with.
 func (p *Process) Stop(patience time.Duration) error {
 	_ = p.Cmd.Process.Signal(syscall.SIGTERM)
--- a/internal/upstream/cause.go
+++ b/internal/upstream/cause.go
@@ -23,11 +23,12 @@
 	CauseDeadline            // nothing came in time
 	CauseCancelled           // the gateway gave it up
 	CauseWithdrawn           // its request was over before it was written
+	CauseForbidden           // the rule on requests forbids it
 	Causes                   // how many there are
 )
 
 var causeNames = [Causes]string{"none", "backend-gone", "no-place", "no-descriptor", "dial-failed", "refused", "connect-late", "expired",
-	"write-failed", "answered-early", "read-failed", "malformed", "unexpected", "copy", "stalled", "deadline", "cancelled", "withdrawn"}
+	"write-failed", "answered-early", "read-failed", "malformed", "unexpected", "copy", "stalled", "deadline", "cancelled", "withdrawn", "forbidden"}
 
 // String names a cause as logs have it.
 func (c Cause) String() string { return causeNames[c] }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -116,6 +116,10 @@
 		c.fail(choice.ConnectFailed, CauseExpired, nil)
 		return
 	}
+	if !p.sink.MayWrite(a) {
+		p.Withdraw(a)
+		return
+	}
 	p.out = a.Message.AppendTo(p.out[:0], a.Deadline-now)
 	c.state = writing
 	p.loop.Set(&c.timer, a.until())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -83,6 +83,8 @@
 	Written(a *Attempt)
 	// Figures tells what stood behind a large value whose attempt had ended.
 	Figures(a *Attempt, r Reply)
+	// MayWrite tells whether an attempt may be written now. It is asked before its first byte.
+	MayWrite(a *Attempt) bool
 	// Starved tells that descriptors have run out in a dial.
 	Starved()
 }
@@ -297,6 +299,12 @@
 	p.dial(b, a)
 }
 
+// Forbid ends an attempt that must not begin, in place of Start.
+func (p *Pool) Forbid(a *Attempt) {
+	a.started = p.loop.Now()
+	p.end(a, Reply{Status: choice.ConnectFailed, Cause: CauseForbidden})
+}
+
 // Abort stops the wait for an attempt. Its outcome comes as for any other; its
 // connection is closed before, so that no second attempt overlaps it.
 func (p *Pool) Abort(a *Attempt) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -114,7 +114,8 @@
 	}
 }
 
-func (b *bench) Starved() { b.starved++ }
+func (b *bench) Starved()               { b.starved++ }
+func (b *bench) MayWrite(*Attempt) bool { return true }
 
 func (b *bench) Figures(_ *Attempt, r Reply) { b.figures = append(b.figures, r) }
 
