Give up a call that is interrupted again and again, and tell that it was

Backends were told up to 0.3 s more than their clients had left, and timers stood still, while reads or waits of the ingress returned EINTR for some 200 ms; a write that met EAGAIN for want of memory came 0.6 s late.

Cause: Read, Write, Pending and the poller repeated an interrupted call for ever on the one goroutine that also runs the timers; and a read that was late for that reason did not know it, as Late judges by when rounds ran.

A call is repeated 16 times, then comes back later as after a shortage; an interrupted poll leaves the round its turn. For a second behind it Late holds, so that a request's time is asked of the system (Hindered).

--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -47,6 +47,8 @@
 	raw    syscall.RawConn
 	events [batch]syscall.EpollEvent
 
+	interrupted uint64 // Waits that could not poll
+
 	mu      sync.Mutex
 	woken   bool
 	parked  bool
@@ -101,6 +103,10 @@
 			n, err = p.poll()
 			return n > 0 || err != nil
 		})
+		if errors.Is(err, errInterrupted) {
+			err = nil // timers have their turn, and the next Wait polls again before it parks
+			p.interrupted++
+		}
 		p.mu.Lock()
 		p.parked = false
 		p.mu.Unlock()
@@ -111,6 +117,10 @@
 	if n == 0 && err == nil { // woken, or at the end of the time: what there is counts all the same
 		n, err = p.poll()
 	}
+	if errors.Is(err, errInterrupted) {
+		err = nil
+		p.interrupted++
+	}
 	if err != nil {
 		return err
 	}
@@ -120,6 +130,9 @@
 	return nil
 }
 
+// Interrupted counts the Waits that were interrupted too often to take any event.
+func (p *Poller) Interrupted() uint64 { return p.interrupted }
+
 // park readies the wait, unless there is something to do already.
 func (p *Poller) park(until time.Time) bool {
 	p.mu.Lock()
@@ -138,7 +151,7 @@
 
 // poll takes the events that there are, without waiting.
 func (p *Poller) poll() (int, error) {
-	for {
+	for range mostInterrupted {
 		// A call that never blocks need not tell the Go scheduler of itself.
 		n, _, e := syscall.RawSyscall6(syscall.SYS_EPOLL_PWAIT, uintptr(p.fd), uintptr(unsafe.Pointer(&p.events[0])), batch, 0, 0, 0)
 		switch e {
@@ -149,8 +162,14 @@
 			return 0, fmt.Errorf("epoll: %w", e)
 		}
 	}
+	return 0, errInterrupted
 }
 
+// errInterrupted tells that there may be events: the call was interrupted mostInterrupted times in a row.
+var errInterrupted = errors.New("epoll: interrupted")
+
+const mostInterrupted = 16
+
 var longAgo = time.Unix(1, 0)
 
 // Wake ends the wait that is on, or the next one. Many calls count as one. It
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -59,6 +59,9 @@
 	// Waited is how long ago the last of what has come did so, read or not; 0
 	// where that can't be told.
 	Waited() time.Duration
+	// Gone tells whether the other side has ended the connection or it has broken, read or not,
+	// and whatever events have told. Where that can't be told, it has not.
+	Gone() bool
 	// Unsent tells whether bytes that were written are still on their way to the
 	// other side's machine: a Close with something unread would drop them.
 	Unsent() bool
@@ -102,6 +105,9 @@
 	// Wait waits until something happens, Wake is called or the time has come
 	// (if there is one), and tells the handlers.
 	Wait(until time.Duration, any bool) error
+	// Hindered tells whether calls have failed of late that would have told what has come, or
+	// read it: it may have waited.
+	Hindered() bool
 	// Wake ends the Wait that is on, or the next one. It may be called from any
 	// goroutine; all else belongs to the loop's.
 	Wake()
@@ -219,7 +225,7 @@
 	if now-l.looked[0] > lateAfter {
 		l.lateUntil = now + lateAfter
 	}
-	return now < l.lateUntil
+	return now < l.lateUntil || l.Hindered()
 }
 
 // Round does what follows the events of one Wait.
--- a/internal/reactor/simnet/conn.go
+++ b/internal/reactor/simnet/conn.go
@@ -232,6 +232,9 @@
 	return time.Duration(float64(c.node.net.now-c.cameAt) * c.node.Rate)
 }
 
+// Gone tells whether the other side has ended it, or it has broken.
+func (c *conn) Gone() bool { return c.closed || c.ended || c.wasReset }
+
 // Unsent tells whether something is on its way.
 func (c *conn) Unsent() bool { return !c.closed && len(c.sending) > 0 }
 
--- a/internal/reactor/simnet/node.go
+++ b/internal/reactor/simnet/node.go
@@ -106,6 +106,9 @@
 	return time.Duration(float64(m.net.now-m.epoch) * m.Rate)
 }
 
+// Hindered tells that no call fails here.
+func (m *Node) Hindered() bool { return false }
+
 // Wall is the wall clock now.
 func (m *Node) Wall() time.Time { return m.began.Add(m.Now()) }
 
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -31,6 +31,13 @@
 	tcpNotSentLowat = 25        // TCP_NOTSENT_LOWAT, which package syscall does not have
 
 	multipathTCP = 262 // IPPROTO_MPTCP, likewise
+
+	// States of TCP_INFO, likewise, in which the other side has ended or all is over.
+	tcpTimeWait  = 6
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
 )
 
 // Sockets is the world of the system's sockets.
@@ -40,6 +47,8 @@
 	byFD    []*socket
 	tag     int32
 	retries *timewheel.Wheel[*retry]
+
+	hinderedUntil time.Duration
 }
 
 // NewSockets makes a world. It fails when descriptors have run out.
@@ -87,9 +96,13 @@
 			at = longAgo
 		}
 	}
+	before := s.poller.Interrupted()
 	if err := s.poller.Wait(at, s.event); err != nil {
 		return err
 	}
+	if s.poller.Interrupted() > before {
+		s.hinder()
+	}
 	s.retries.Advance(s.Now(), tellRetry)
 	return nil
 }
@@ -146,7 +159,7 @@
 // The calls below never block, so the Go scheduler need not be told of them.
 
 func (k *socket) Read(b []byte) (int, error) {
-	for {
+	for range mostInterrupted {
 		n, _, e := syscall.RawSyscall(syscall.SYS_READ, uintptr(k.fd), uintptr(unsafe.Pointer(unsafe.SliceData(b))), uintptr(len(b)))
 		switch transferVerdict(e) {
 		case verdictOK:
@@ -158,28 +171,38 @@
 		case verdictWait:
 			return 0, ErrWait
 		case verdictShortage:
-			k.tellAgain(Readable, retryShort)
-			return 0, ErrWait
+			return 0, k.readLater()
 		case verdictOver:
 			return 0, e
 		}
 	}
+	return 0, k.readLater()
 }
 
 func (k *socket) Write(b []byte) (written int, err error) {
-	for written < len(b) {
+	for interrupted := 0; written < len(b); {
 		rest := b[written:]
 		n, _, e := syscall.RawSyscall6(syscall.SYS_SENDTO, uintptr(k.fd), uintptr(unsafe.Pointer(unsafe.SliceData(rest))), uintptr(len(rest)),
 			syscall.MSG_NOSIGNAL, 0, 0)
 		switch transferVerdict(e) {
 		case verdictOK:
 			written += int(n)
+			interrupted = 0
 			k.succeeded(Writable)
+		case verdictAgain:
+			if interrupted++; interrupted == mostInterrupted {
+				k.tellAgain(Writable, pauseShort)
+				return written, ErrWait
+			}
 		case verdictWait:
-			k.tellAgain(Writable, retryBlocked)
+			if k.Unsent() {
+				k.tellAgain(Writable, pauseBlocked)
+			} else { // for want of memory: no room will come about of which the poller could tell
+				k.tellAgain(Writable, pauseShort)
+			}
 			return written, ErrWait
 		case verdictShortage:
-			k.tellAgain(Writable, retryShort)
+			k.tellAgain(Writable, pauseShort)
 			return written, ErrWait
 		case verdictOver:
 			return written, e
@@ -190,7 +213,7 @@
 
 func (k *socket) Pending() bool {
 	var one [1]byte
-	for {
+	for range mostInterrupted {
 		_, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, uintptr(k.fd), uintptr(unsafe.Pointer(&one)), 1,
 			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
 		switch transferVerdict(e) {
@@ -201,19 +224,38 @@
 		}
 		return true
 	}
+	return true // it can't be told: a Read will
 }
 
 // Waited asks for when the last segment with data came. The system tells it in
 // milliseconds, by a clock that may be some of them behind.
 func (k *socket) Waited() time.Duration {
-	var info syscall.TCPInfo
+	info, ok := k.info()
+	if !ok {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// info asks the system what it knows of the connection.
+func (k *socket) info() (info syscall.TCPInfo, ok bool) {
 	size := uint32(unsafe.Sizeof(info))
 	_, _, e := syscall.RawSyscall6(syscall.SYS_GETSOCKOPT, uintptr(k.fd), syscall.IPPROTO_TCP, syscall.TCP_INFO,
 		uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
-	if e != 0 {
-		return 0
+	return info, e == 0
+}
+
+// Gone asks for the state of the connection.
+func (k *socket) Gone() bool {
+	info, ok := k.info()
+	if !ok {
+		return false
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	switch info.State {
+	case tcpTimeWait, tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+		return true
+	}
+	return false
 }
 
 // Unsent asks for the send queue: what the other side's kernel has not
@@ -405,7 +447,8 @@
 		events, what int16
 	}{fd: int32(l.fd), events: syscall.EPOLLIN} // the same bit as POLLIN
 	var at syscall.Timespec // now
-	for e = syscall.EINTR; e == syscall.EINTR; {
+	e = syscall.EINTR
+	for tries := 0; e == syscall.EINTR && tries < mostInterrupted; tries++ {
 		n, _, e = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&look)), 1, uintptr(unsafe.Pointer(&at)), 0, 0, 0)
 	}
 	return n, e
