Ask the system whether a client has gone before a late attempt is written

A backend got an attempt 165 ms after its client had closed the connection, while the ingress's waits were interrupted.

Cause: that a client has left was known by its event alone, and the events stood behind calls that failed; timers and ends of attempts did not.

Before the first byte of an attempt that does not follow its request's reading at once, the connection's state is asked for (TCP_INFO).

Test: TestNothingIsWrittenForAClientThatHasLeftUnheard, which fails without the look.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -73,6 +73,9 @@
 	knownLine  = []byte("-ERR the request id is in use\r\n")
 )
 
+// Gone tells whether the client has left.
+func (s *slot) Gone() bool { return s.client.net == nil || s.client.net.Gone() }
+
 // Answer gives the slot its one answer.
 func (s *slot) Answer(o outcome) {
 	c := s.client
--- a/internal/ingress/figures_test.go
+++ b/internal/ingress/figures_test.go
@@ -119,6 +119,29 @@
 	}
 }
 
+// Guards against attempts for clients that have left, where the event that tells of it is late.
+func TestNothingIsWrittenForAClientThatHasLeftUnheard(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("s-1"))
+	c := r.dial()
+	c.send("Q.ASK", anyone, newID(), lookup)
+	wait(t, "the attempt", b.Got)
+	r.ask(func(l *loop) { // no event is told meanwhile
+		for _, open := range l.requests {
+			if a := open.attempts[0]; !l.MayWrite(a) {
+				t.Error("an attempt is forbidden though its client waits")
+			}
+			c.nc.Close()
+			for end := time.Now().Add(patience); (!open.answer.Gone() || l.Now()-open.began < justRead) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			if a := open.attempts[0]; l.MayWrite(a) {
+				t.Error("an attempt may be written though its client has left")
+			}
+		}
+	})
+}
+
 // The figures are held against what the backend got and the clients were told.
 func TestFiguresAreWhatPeersSaw(t *testing.T) {
 	b := newBackend(t)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -19,9 +19,10 @@
 	answerMargin   = 15 * time.Millisecond
 	marginPart     = 10 // at most this part of the time is kept back
 	probeTimeout   = 250 * time.Millisecond
-	heldShare      = 6           // what is held for clients may take this part of the memory
-	customersShare = 5           // and what is known of customers this one, at
-	customerBytes  = 1400        // for each, with its places in the gateway's map and row
+	heldShare      = 6    // what is held for clients may take this part of the memory
+	customersShare = 5    // and what is known of customers this one, at
+	customerBytes  = 1400 // for each, with its places in the gateway's map and row
+	justRead       = 5 * time.Millisecond
 	idsMargin      = time.Second // ids are known for so long beyond the longest time of a request
 )
 
@@ -75,6 +76,8 @@
 // never called while the gateway is at work.
 type answerer interface {
 	Answer(outcome)
+	// Gone tells whether whoever waits for the answer has left, as far as the system knows.
+	Gone() bool
 }
 
 type answer struct {
@@ -91,6 +94,7 @@
 	answer   answerer
 	slot     slot // the answer's place, where the client speaks RESP
 	deadline time.Duration
+	began    time.Duration // when it was taken
 	sent     time.Duration // its first attempt
 	life     lifecycle.Request
 	attempts []*upstream.Attempt
@@ -154,6 +158,7 @@
 	}
 	r.id = l.lastID
 	l.requests[r.id] = r
+	r.began = l.Now()
 	r.life = lifecycle.Request{Rules: &l.rules[r.class], Deadline: r.deadline}
 	l.figures.open++
 	now := l.Now()
@@ -425,7 +430,12 @@
 		return true
 	}
 	r := a.Owner.(*request)
-	return !l.violates(r.life.Write(l.Now()), r)
+	if l.violates(r.life.Write(l.Now()), r) {
+		return false
+	}
+	// Just after its reading nothing can have happened that is not known. Later an event that tells of the
+	// client's end may be late.
+	return l.Now()-r.began < justRead && !l.Late() || !r.answer.Gone()
 }
 
 // violates counts and logs a step that the rule on requests forbids. Whoever asked does not take it.
