Make a message anew when none of it could be written, and write it soon

Backends were told up to 0.6 s more than their clients had left, when the system did not take the request at once.

Cause: the message, with the time that is left in it, was made when the attempt began and written when the system took it.

A message of which nothing has gone is made anew, with all looks that precede it (drained, client gone, past its time). One of which a part has gone is given up after 0.1 s, as an attempt that never ran.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -341,6 +341,52 @@
 	return 0
 }
 
+// Guards against backends that are told more time than their clients have: the message was made when the
+// attempt began and went out when the system took it, or the request was read long after it had come.
+func TestBackendsAreToldTheTimeThatIsLeft(t *testing.T) {
+	const (
+		lasts = 300 * time.Millisecond // the fault
+		slack = 150 * time.Millisecond
+	)
+	for _, fault := range []faultinject.Rule{
+		{Call: faultinject.WriteBackend, Fault: "ENOBUFS", Share: 1}, {Call: faultinject.WriteBackend, Fault: "EAGAIN", Share: 1},
+		{Call: faultinject.ReadClient, Fault: "EINTR", Share: 1}, {Call: faultinject.ReadClient, Fault: "ENOMEM", Share: 1},
+		{Call: faultinject.Poll, Fault: "EINTR", Share: 1}, {Call: faultinject.Accept, Fault: "ENFILE", Share: 1},
+	} {
+		t.Run(fmt.Sprint(fault.Call, " ", fault.Fault), func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			kept := f.dial()
+			warm := newIDs(2)
+			f.judge(warm, f.sendAll(kept, warm))
+			f.set(fault)
+			ids := newIDs(6)
+			sent := time.Now()
+			var all sync.WaitGroup
+			for i, id := range ids {
+				c := kept
+				if i > 0 {
+					c = f.dial()
+				}
+				all.Go(func() { f.judge([]string{id}, f.sendAll(c, []string{id})) })
+			}
+			time.Sleep(lasts)
+			f.set()
+			all.Wait()
+			for _, id := range ids {
+				told, any := f.told.Load(id)
+				if !any {
+					continue // not served, which has been told
+				}
+				at := told.(toldTime)
+				if left := sent.Add(faultyDeadline).Sub(at.at); at.limit > left+slack {
+					t.Errorf("a backend was told %v with %v left", at.limit, left)
+				}
+			}
+		})
+	}
+}
+
 // Guards against requests that hang or run twice when connections to backends break: each error of the
 // system ends the connection, and each request gets its final answer.
 func TestBrokenConnectionsToBackendsLoseNothing(t *testing.T) {
--- a/cmd/wickarch/idle_test.go
+++ b/cmd/wickarch/idle_test.go
@@ -40,6 +40,13 @@
 	member    standin.Member
 	node      standin.Node
 	dir       string
+	told      sync.Map // by request id, a toldTime
+}
+
+// toldTime is the time that an attempt told its backend, and when it came.
+type toldTime struct {
+	at    time.Time
+	limit time.Duration
 }
 
 // hole is the customer whose requests backends never answer.
@@ -84,6 +91,7 @@
 	s := &site{T: t, dir: t.TempDir()}
 	work := s.effects.Work(func() time.Duration { return time.Duration(rand.IntN(5)) * time.Millisecond }, nil)
 	backend, err := standin.NewBackend(func(r standin.Received) {
+		s.note(r)
 		switch r.Args[1] {
 		case fmt.Sprintf("%016x", hole):
 			s.effects.Run(r.ID())
@@ -110,6 +118,22 @@
 	return s
 }
 
+// note keeps the time that an attempt tells.
+func (s *site) note(r standin.Received) {
+	if len(r.Args) < 4 {
+		return
+	}
+	for _, option := range strings.Split(r.Args[3], ",") {
+		if ms, ok := strings.CutPrefix(option, "d="); ok {
+			limit, err := time.ParseDuration(ms + "ms")
+			if err != nil {
+				s.Errorf("an attempt tells d=%q", ms)
+			}
+			s.told.Store(r.ID(), toldTime{time.Now(), limit})
+		}
+	}
+}
+
 // load begins a steady load of usual clients; the function ends it and judges it.
 func (s *site) load(perSecond float64, change ...func(*standin.Load)) func() *standin.Load {
 	l := &standin.Load{Addr: s.Addr, PerSecond: perSecond, Payments: 0.3, Deadline: deadline, Prompt: prompt}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,7 +38,8 @@
 	timer   reactor.Timer
 	retry   time.Duration // while waiting: the next time it waits so long
 	upBy    time.Duration // connecting: it must be up before then
-	rest    []byte        // writing: what is not written yet
+	rest    []byte        // writing: what is not written yet, once a part is
+	builtAt time.Duration // writing: when the message was made, and the time that it tells was true
 	part    []byte        // answering: what is here
 	since   time.Duration // idle: since when
 	stallBy time.Duration // answering: the end must be here by then
@@ -51,6 +52,10 @@
 	ended   bool     // the other side sends nothing more, or the connection is gone; told once
 }
 
+// longestWrite is how long a message may take from its making to its last byte: the time that it tells its
+// backend counts from the making, and may be 150 ms too long.
+const longestWrite = 100 * time.Millisecond
+
 // dial opens a connection for an attempt.
 func (p *Pool) dial(b *backend, a *Attempt) {
 	c := &conn{pool: p, to: b, attempt: a, retry: dialRetry}
@@ -121,7 +126,7 @@
 		return
 	}
 	p.out = a.Message.AppendTo(p.out[:0], a.Deadline-now)
-	c.state = writing
+	c.state, c.builtAt = writing, now
 	p.loop.Set(&c.timer, a.until())
 	c.write(p.out)
 	if cap(p.out) > 2*sharedBuffer {
@@ -139,9 +144,12 @@
 			c.pool.loop.Set(&c.timer, c.attempt.Deadline)
 		}
 		c.pool.sink.Written(c.attempt)
+	case errors.Is(err, reactor.ErrWait) && n == 0 && len(c.rest) == 0:
+		// Nothing of it has gone: it is made anew when something can, by what is true then.
 	case errors.Is(err, reactor.ErrWait):
 		if len(c.rest) == 0 {
 			c.rest = slices.Clone(b[n:])
+			c.pool.loop.Set(&c.timer, min(c.attempt.until(), c.builtAt+longestWrite))
 		} else {
 			c.rest = b[n:]
 		}
@@ -172,7 +180,11 @@
 			c.fail(choice.ConnectFailed, CauseExpired, nil)
 			return
 		}
-		c.write(c.rest)
+		if len(c.rest) == 0 {
+			c.send()
+		} else {
+			c.write(c.rest)
+		}
 	case written, answering:
 		if e&(reactor.Readable|reactor.Ended|reactor.Gone) != 0 {
 			c.read()
