Take no places from clients for a shortage that is not the process's own

Callers in a crowd waited unread for up to 1.5 s after accept or epoll_ctl had failed for some milliseconds.

With fewer places the idle ones are closed, so that this never came to be: one ingress went on with a single place.

A process that holds less than half of its descriptors takes no place away, unless the shortage lasts 0.5 s.

Test: TestPlacesOutliveAShortageThatIsNotOurs failed for epoll_ctl (1.1 s), and passes.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -387,6 +387,34 @@
 	}
 }
 
+// Guards against places that are taken away from clients for a shortage that is none of this process: what
+// is idle was closed then, so that it never held more than at the failure, and the places stayed away.
+func TestPlacesOutliveAShortageThatIsNotOurs(t *testing.T) {
+	const prompt = 900 * time.Millisecond
+	for _, fault := range []faultinject.Rule{
+		{Call: faultinject.Accept, Fault: "ENFILE", Share: 1, Most: 20}, {Call: faultinject.Watch, Fault: "ENOMEM", Share: 1, Most: 20},
+	} {
+		t.Run(fmt.Sprint(fault.Call, " ", fault.Fault), func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t)
+			for range 12 {
+				c := f.dial()
+				ids := newIDs(1)
+				f.judge(ids, f.sendAll(c, ids)) // and stays, idle
+			}
+			f.set(fault)
+			for range 40 {
+				f.dial() // says nothing, and holds its place
+			}
+			begun := time.Now()
+			f.takesClients(10)
+			if took := time.Since(begun); took > prompt {
+				t.Errorf("the answers took %v, want %v at most", took, prompt)
+			}
+		})
+	}
+}
+
 // Guards against requests that hang or run twice when connections to backends break: each error of the
 // system ends the connection, and each request gets its final answer.
 func TestBrokenConnectionsToBackendsLoseNothing(t *testing.T) {
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -12,14 +12,16 @@
 )
 
 const (
-	acceptRetry  = 5 * time.Millisecond
-	trialMost    = 80 * time.Millisecond // between two looks whether descriptors are short still, at most
-	growAfter    = time.Second           // without a failed accept, for one place back
-	acceptBatch  = 64                    // connections taken before the others have their turn
-	partBatch    = 64                    // connections closed that their clients have ended, likewise
-	pacePause    = time.Millisecond
-	readBatch    = 4 // reads from one connection before the others have theirs
-	sharedBuffer = 64 << 10
+	acceptRetry = 5 * time.Millisecond
+	// passingShortage is how long a shortage may last that the process has no part in.
+	passingShortage = 500 * time.Millisecond
+	trialMost       = 80 * time.Millisecond // between two looks whether descriptors are short still, at most
+	growAfter       = time.Second           // without a failed accept, for one place back
+	acceptBatch     = 64                    // connections taken before the others have their turn
+	partBatch       = 64                    // connections closed that their clients have ended, likewise
+	pacePause       = time.Millisecond
+	readBatch       = 4 // reads from one connection before the others have theirs
+	sharedBuffer    = 64 << 10
 )
 
 // front holds the listener and the clients' connections. Connections at rest
@@ -45,7 +47,9 @@
 	growAt     time.Duration // a place is given back then; 0 when it has them all
 	trialAt    time.Duration // with no place left since a shortage: not tried again before then
 	trialWait  time.Duration // how long that waits
-	heldShort  int           // connections held at the last shortage
+	heldShort  int           // connections held at the last shortage of its own
+	shortSince time.Duration // since when no connection was to be had; 0 when one was
+	shortAt    time.Duration // when one was last missed
 	partAt     time.Duration // the next batch of those parting comes no sooner
 	lastLook   bool          // the listener closes once nothing waits in its queue
 	draining   bool
@@ -273,6 +277,7 @@
 // judgeShortage gives the places back when more connections are held than when descriptors ran
 // out: what was short then was not what the process holds.
 func (f *front) judgeShortage() {
+	f.shortSince = 0
 	switch {
 	case !f.admission.Shrunk():
 	case f.heldNow() > f.heldShort:
@@ -283,17 +288,31 @@
 	}
 }
 
+// ownShortage tells whether it may be what this process holds that is short: it holds much of what it may,
+// or the shortage lasts.
+func (f *front) ownShortage(now time.Duration) bool {
+	if f.shortSince == 0 || now-f.shortAt > passingShortage/2 {
+		f.shortSince = now
+	}
+	f.shortAt = now
+	return f.heldNow() >= f.cfg.Limits.Sockets/2 || now-f.shortSince >= passingShortage
+}
+
 // heldNow is how many connections the process holds.
 func (f *front) heldNow() int { return len(f.clients) + len(f.unwatched) + f.loop.pool.Open() }
 
 // shrink takes note that descriptors have run out: the admission controller keeps to what there
 // is, and closes one at rest in place of what was wanted.
 func (f *front) shrink(now time.Duration) {
+	f.retryAt = now + acceptRetry
+	if !f.ownShortage(now) {
+		return
+	}
 	f.admission.Shrink()
 	f.heldShort = f.heldNow()
 	f.trialWait = min(max(acceptRetry, 2*f.trialWait), trialMost)
 	f.trialAt = now + f.trialWait
-	f.retryAt, f.growAt = now+acceptRetry, now+growAfter
+	f.growAt = now + growAfter
 	f.admission.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 }
 
