Wait for the answer until the attempt's deadline after a message that went in parts

Cause: the timer of the writing was left set once the last byte had gone, and rang for nothing; nothing then ended the wait for the answer.

The timer is set to the deadline whenever the last byte is written.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -140,9 +140,7 @@
 	switch {
 	case err == nil:
 		c.rest, c.state = nil, written
-		if c.attempt.Before > 0 {
-			c.pool.loop.Set(&c.timer, c.attempt.Deadline)
-		}
+		c.pool.loop.Set(&c.timer, c.attempt.Deadline) // until now it was that of the writing
 		c.pool.sink.Written(c.attempt)
 	case errors.Is(err, reactor.ErrWait) && n == 0 && len(c.rest) == 0:
 		// Nothing of it has gone: it is made anew when something can, by what is true then.
