--- a/internal/faultinject/control.go
+++ b/internal/faultinject/control.go
@@ -15,6 +15,8 @@
 	mu  sync.Mutex
 	in  io.WriteCloser
 	out *bufio.Scanner
+
+	seen map[string]int // by the last call of Since
 }
 
 // Environment is what makes a command that runs a test binary, or another binary that
@@ -42,6 +44,20 @@
 	return &Control{in: in, out: bufio.NewScanner(out)}, nil
 }
 
+// Since takes counts that Set has returned, and tells what has been added since it was last called.
+func (c *Control) Since(applied map[string]int) map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	added := map[string]int{}
+	for what, n := range applied {
+		if more := n - c.seen[what]; more > 0 {
+			added[what] = more
+		}
+	}
+	c.seen = applied
+	return added
+}
+
 // Set puts rules in force in place of those before, and waits until they are. It returns
 // how often each fault has been applied so far, by call and fault.
 func (c *Control) Set(rules ...Rule) (applied map[string]int, err error) {
--- a/internal/reactor/retry.go
+++ b/internal/reactor/retry.go
@@ -46,7 +46,7 @@
 	k.world.retries.Set(&r.timer, k.world.Now()+r.wait)
 }
 
-// readLater has what could not be read read later.
+// readLater has a read that could not be done tried again later.
 func (k *socket) readLater() error {
 	k.world.hinder()
 	k.tellAgain(Readable, pauseShort)
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,222 @@
+// Package soak runs a small installation of real processes on loopback under random, overlapping faults,
+// and judges it by the rules: system calls that fail, connections cut, silenced and reset, backends that
+// hang, reset, spoil their answers, drain and come back cold, signals in series, kills, clients that leave,
+// write in pieces and crowd. Each run is drawn from one seed. (Timing is the machine's, so that one seed gives
+// the same faults, not the same run.)
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wickarch/internal/standin"
+)
+
+// Config is one run.
+type Config struct {
+	Seed      uint64
+	Tracer    []string // the command that runs the tracer of package faultinject
+	Program   string   // what it traces; "" for its own binary
+	Env       []string // for it
+	Dir       string   // for configurations
+	Ingresses int
+	Backends  int
+	Clients   int
+	For       time.Duration // under faults
+	Crowd     bool          // idle clients fill the descriptors
+	Leave     float64       // share of requests whose client leaves
+	Rude      float64       // share of connections that stop in the middle of a command
+	NoCalls   bool          // no system call fails
+	Logs      string        // a folder for the logs of all processes, with each request; "" for none
+}
+
+// Defaults are the usual sizes for a seed; one in five has a crowd.
+func Defaults(seed uint64) Config {
+	return Config{Seed: seed, Ingresses: 12, Backends: 8, Clients: 60, For: 6 * time.Second, Crowd: seed%5 == 0, Leave: 0.05, Rude: 0.01}
+}
+
+// longest is the longest time of a request.
+func (Config) longest() time.Duration { return 1200 * time.Millisecond }
+
+// sockets is how many descriptors an ingress has.
+func (c Config) sockets() int {
+	if c.Crowd {
+		return 160
+	}
+	return 512
+}
+
+// Report is what came of a run.
+type Report struct {
+	Requests, Attempts, Crossed, Left, Killed int
+	Ends                                      [wrong + 1]int // by answerKind
+	Stops, Kills, Reloads, Replaced           int
+	Faults                                    map[string]int // system calls that failed, by call and error
+	Violations                                []string
+}
+
+// String sums it up on a line.
+func (r Report) String() string {
+	calls := 0
+	for _, n := range r.Faults {
+		calls += n
+	}
+	return fmt.Sprintf("%d requests (%d served, %d refused, %d failed, %d left, %d crossed an end, %d killed), %d attempts, %d calls failed in %d ways, "+
+		"%d stops, %d kills, %d reloads, %d backends replaced: %d violations", r.Requests, r.Ends[served], r.Ends[refused], r.Ends[failed], r.Left, r.Crossed,
+		r.Killed, r.Attempts, calls, len(r.Faults), r.Stops, r.Kills, r.Reloads, r.Replaced, len(r.Violations))
+}
+
+// run is one run under way.
+type run struct {
+	cfg       Config
+	begun     time.Time
+	rng       *sharedRand
+	registry  *standin.Registry
+	ingresses []*ingress
+	record    record
+
+	mu       sync.Mutex
+	backends []*backend
+	made     int // backends, all
+	report   Report
+}
+
+// Run plays one seed. The error tells that it could not be played.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	r := &run{cfg: cfg, begun: time.Now(), rng: newSharedRand(cfg.Seed), registry: standin.NewRegistry(), record: record{requests: map[string]*request{}},
+		report: Report{Faults: map[string]int{}}}
+	defer r.registry.Stop()
+	for range cfg.Backends {
+		if _, err := r.addBackend(time.Time{}); err != nil {
+			return r.report, err
+		}
+	}
+	defer r.closeAll()
+	if err := r.startAll(ctx); err != nil {
+		return r.report, err
+	}
+	clients, leave := context.WithCancel(ctx)
+	defer leave()
+	var asking sync.WaitGroup
+	for range cfg.Clients {
+		asking.Go(func() { r.client(clients) })
+	}
+	if cfg.Crowd {
+		asking.Go(func() { r.crowd(clients) })
+	}
+	r.trouble(ctx)
+	time.Sleep(quiet)
+	r.endAll()
+	leave()
+	asking.Wait()
+	r.judge()
+	return r.report, nil
+}
+
+const quiet = 500 * time.Millisecond // with no further fault, before all are stopped
+
+// startAll starts all ingresses at once.
+func (r *run) startAll(ctx context.Context) error {
+	for n := range r.cfg.Ingresses {
+		in, err := newIngress(r, n)
+		if err != nil {
+			return err
+		}
+		r.ingresses = append(r.ingresses, in)
+	}
+	failed := make(chan error, len(r.ingresses))
+	var all sync.WaitGroup
+	for _, in := range r.ingresses {
+		all.Go(func() {
+			if err := in.start(ctx); err != nil {
+				failed <- err
+			}
+		})
+	}
+	all.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+// endAll stops all ingresses at once, while clients go on.
+func (r *run) endAll() {
+	var all sync.WaitGroup
+	for _, in := range r.ingresses {
+		all.Go(func() {
+			if _, up := in.takes(); up {
+				in.stop(1)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (r *run) closeAll() {
+	for _, in := range r.ingresses {
+		for _, l := range in.links {
+			l.Close()
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.backends {
+		b.close()
+	}
+}
+
+// addBackend starts a backend and has discovery tell of it.
+func (r *run) addBackend(since time.Time) (*backend, error) {
+	r.mu.Lock()
+	r.made++
+	id := fmt.Sprintf("s-%03d", r.made)
+	r.mu.Unlock()
+	b, err := newBackend(r, id, since)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.backends = append(r.backends, b)
+	r.mu.Unlock()
+	r.registry.Set(b.member("SERVING"))
+	return b, nil
+}
+
+// settings are those of the n-th ingress.
+func (r *run) settings(n int) json.RawMessage {
+	const text = `{"balancers":%d,"self_index":%d,"zone":0,"zones":["a"],"kinds":["std"],"tick_ms":2,"discovery":"push",
+ "bounds":{"cancelling":true,"conn_idle_ms":4000,"connect_timeout_ms":500,"max_retry_after_ms":1000,"probing":true,
+  "retry_after":true,"second_copies":false,"try_limit":4},
+ "invariants":{"cold_from":0.2,"cold_ms":1500,"drain_grace_ms":500,"fall_ms":1000,"tip_multiple":3},
+ "report":{"fields":["rif","lat_ms"],"how":"pull"},
+ "request_classes":[
+  {"name":"lookup","aim_ms":200,"give_up_ms":%[3]d,"effect":"free","dedup_scope":"all","worth":2,"window_ms":1000},
+  {"name":"order","aim_ms":200,"give_up_ms":%[3]d,"effect":"guarded","dedup_scope":"all","worth":4,"window_ms":%[4]d},
+  {"name":"payment","aim_ms":200,"give_up_ms":%[3]d,"effect":"single_shot","dedup_scope":"all","worth":6,"window_ms":1000}],
+ "specifics":{"max_units":1,"use_period_ms":500},
+ "tiers_of_service":[{"name":"basic","quota_rate":1e6,"burst":1e6,"price":1}],"weights":"nominal"}`
+	return json.RawMessage(fmt.Sprintf(text, r.cfg.Ingresses, n, r.cfg.longest().Milliseconds(), keyedWindow.Milliseconds()))
+}
+
+// sharedRand is a generator for several goroutines.
+type sharedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newSharedRand(seed uint64) *sharedRand { return &sharedRand{rng: rand.New(rand.NewPCG(seed, 51))} }
+
+func (s *sharedRand) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Uint64()
+}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -52,6 +52,9 @@
 	go func() {
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
+			if n.Log != nil {
+				_, _ = fmt.Fprintln(n.Log, lines.Text())
+			}
 			if len(p.log) == logKept {
 				p.log = p.log[1:]
 			}
@@ -87,12 +90,25 @@
 // Stop sends SIGTERM and waits for the end. It returns what the program ended with.
 func (p *Process) Stop(patience time.Duration) error {
 	_ = p.Cmd.Process.Signal(syscall.SIGTERM)
+	err := p.Wait(patience)
+	if errors.Is(err, errRuns) {
+		p.Cmd.Process.Kill()
+		<-p.ended
+	}
+	return err
+}
+
+var errRuns = errors.New("the program did not end in time")
+
+// Log is the last lines that a program wrote which has ended.
+func (p *Process) Log() []string { return p.log }
+
+// Wait waits for the end, and returns what the program ended with.
+func (p *Process) Wait(patience time.Duration) error {
 	select {
 	case <-p.ended:
 	case <-time.After(patience):
-		p.Cmd.Process.Kill()
-		<-p.ended
-		return errors.New("the program did not end in time")
+		return errRuns
 	}
 	if p.err != nil {
 		return fmt.Errorf("%w: %s", p.err, strings.Join(p.log, "; "))
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -7,8 +7,12 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"time"
 )
 
+// emptyEvery is how often an empty line tells that a watch lives.
+const emptyEvery = 2 * time.Second
+
 // Registry is a discovery whose list changes and which tells each change to all
 // that watch.
 type Registry struct {
@@ -79,6 +83,10 @@
 			if _, err := w.Write(b); err != nil {
 				return
 			}
+		case <-time.After(emptyEvery):
+			if _, err := w.Write([]byte("\n")); err != nil {
+				return
+			}
 		}
 	}
 }
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -48,6 +49,9 @@
 	Known     json.RawMessage `json:"known,omitempty"` // a list as discovery tells it
 	Files     []*os.File      `json:"-"`               // that the program inherits, from descriptor 3 on
 
+	// Log gets each line that the program writes; nil for nowhere.
+	Log io.Writer `json:"-"`
+
 	// Prepare is called with the command before its start; nil for nothing to prepare.
 	Prepare func(*exec.Cmd) error `json:"-"`
 }
