Outlive errors of one moment in the lock between two processes of an ingress

A process that could not open or take the lock for a moment (EIO, ENOSPC, ENOLCK) took clients beside the process before it, and with them that one's part of every ceiling.

Which errors may pass now stands in one place (package retry), that the start of the program uses too. The lock is tried for 10 s by who waits for it, and for 0.1 s by who is about to end.

Test: TestHandoverOutlivesLocksThatFail failed in three of three cases, and passes.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
 	"strconv"
 	"strings"
@@ -467,6 +468,45 @@
 	}
 }
 
+// Guards against two processes that take clients at once, because the lock between them failed for a moment.
+func TestHandoverOutlivesLocksThatFail(t *testing.T) {
+	for _, fault := range []faultinject.Rule{
+		{Call: faultinject.Open, Path: "wickarch.held", Fault: "EIO", Share: 1, Most: 3},
+		{Call: faultinject.Open, Path: "wickarch.next", Fault: "ENOSPC", Share: 1, Most: 3},
+		{Call: faultinject.Lock, Fault: "ENOLCK", Share: 1, Most: 3},
+	} {
+		t.Run(fmt.Sprint(fault.Call, " ", fault.Fault), func(t *testing.T) {
+			t.Parallel()
+			s := around(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384})
+			s.hold()
+			shared := []string{"NODE_PASSED_SOCKET=3", "TMPDIR=" + t.TempDir()}
+			s.begin(nil, shared...)
+			traced, err := faultinject.Environment("", 1, fault)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next, err := s.node.Start(t.Context(), []string{os.Args[0]}, s.dir, append(append(traced, shared...), asProgram+"=1")...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err = s.Stop(patience); err != nil {
+				t.Errorf("the process before ended with %v", err)
+			}
+			if err = standin.WaitReady(s.node.Listen, patience); err != nil {
+				t.Fatal(err)
+			}
+			if err = next.Stop(patience); err != nil {
+				t.Error(err)
+			}
+			for _, line := range next.Log() {
+				if strings.Contains(line, "beside the process before") {
+					t.Errorf("the next process says %q", line)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a start that ends the process because a call failed for a moment.
 func TestStartOutlivesCallsThatFail(t *testing.T) {
 	for _, fault := range []faultinject.Rule{
--- a/cmd/wickarch/retry.go
+++ b/cmd/wickarch/retry.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"errors"
 	"log/slog"
 	"os"
-	"syscall"
 	"time"
+
+	"wickarch/internal/retry"
 )
 
 const (
@@ -14,34 +14,9 @@
 	longestPause  = time.Second
 )
 
-// passing tells whether an error may be gone a moment later: that of a system call which says
-// nothing of what it was called on.
-func passing(err error) bool {
-	var errno syscall.Errno
-	if !errors.As(err, &errno) {
-		return errors.Is(err, os.ErrNoDeadline) // of a poller that the runtime could not watch
-	}
-	switch errno {
-	case syscall.ENOENT, syscall.EACCES, syscall.EPERM, syscall.EISDIR, syscall.ENOTDIR, syscall.ELOOP, syscall.ENAMETOOLONG, syscall.EINVAL, syscall.EBADF:
-		return false
-	}
-	return true
-}
-
 // atStart repeats a step of the start while it fails by a passing error.
-func atStart[T any](step func() (T, error)) (v T, err error) {
-	end := time.Now().Add(startPatience)
-	told := false
-	for {
-		if v, err = step(); err == nil || !passing(err) || time.Now().After(end) {
-			return v, err
-		}
-		if !told {
-			slog.Warn("the start waits for a system call that fails", "error", err)
-			told = true
-		}
-		time.Sleep(firstPause)
-	}
+func atStart[T any](step func() (T, error)) (T, error) {
+	return retry.For(startPatience, func(err error) { slog.Warn("the start waits for a system call that fails", "error", err) }, step)
 }
 
 // followSignals takes over the configuration at each signal. One that can't be read is read again until it
--- a/internal/faultinject/calls.go
+++ b/internal/faultinject/calls.go
@@ -40,6 +40,7 @@
 	unix.SYS_PPOLL:         func(*tracer, *syscall.PtraceRegs) Call { return Poll },
 	unix.SYS_EPOLL_CREATE1: func(*tracer, *syscall.PtraceRegs) Call { return CreatePoller },
 	unix.SYS_OPENAT:        func(*tracer, *syscall.PtraceRegs) Call { return Open },
+	unix.SYS_FLOCK:         func(*tracer, *syscall.PtraceRegs) Call { return Lock },
 	unix.SYS_FSYNC:         func(*tracer, *syscall.PtraceRegs) Call { return Sync },
 	unix.SYS_FDATASYNC:     func(*tracer, *syscall.PtraceRegs) Call { return Sync },
 	unix.SYS_EPOLL_CTL: func(_ *tracer, r *syscall.PtraceRegs) Call {
@@ -118,7 +119,7 @@
 			return ""
 		}
 		return unix.ByteSliceToString(name[:n])
-	case ReadFile, WriteFile, Sync:
+	case ReadFile, WriteFile, Sync, Lock:
 		return t.descriptor(int(regs.Rdi)).name
 	}
 	return ""
@@ -178,7 +179,7 @@
 var errorNumbers = map[string]syscall.Errno{
 	"EADDRNOTAVAIL": syscall.EADDRNOTAVAIL, "EAGAIN": syscall.EAGAIN, "ECONNABORTED": syscall.ECONNABORTED,
 	"ECONNREFUSED": syscall.ECONNREFUSED, "ECONNRESET": syscall.ECONNRESET, "EHOSTUNREACH": syscall.EHOSTUNREACH,
-	"EINTR": syscall.EINTR, "EIO": syscall.EIO, "EMFILE": syscall.EMFILE, "ENETDOWN": syscall.ENETDOWN,
+	"EINTR": syscall.EINTR, "EIO": syscall.EIO, "ENOLCK": syscall.ENOLCK, "EMFILE": syscall.EMFILE, "ENETDOWN": syscall.ENETDOWN,
 	"ENETUNREACH": syscall.ENETUNREACH, "ENFILE": syscall.ENFILE, "ENOBUFS": syscall.ENOBUFS, "ENOMEM": syscall.ENOMEM,
 	"ENOSPC": syscall.ENOSPC, "EPERM": syscall.EPERM, "EPROTO": syscall.EPROTO, "ETIMEDOUT": syscall.ETIMEDOUT,
 }
--- a/internal/faultinject/faultinject.go
+++ b/internal/faultinject/faultinject.go
@@ -64,6 +64,7 @@
 	ReadFile     Call = "read-file"  // regular ones
 	WriteFile    Call = "write-file" // regular ones
 	Sync         Call = "sync"       // fsync, fdatasync
+	Lock         Call = "lock"       // flock
 	CreatePoller Call = "create-poller"
 )
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,6 +14,9 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
+
+	"wickarch/internal/retry"
 )
 
 // Lock is the right to take clients, as one process holds it or waits for it.
@@ -21,8 +24,18 @@
 	held, next *os.File
 }
 
+// How long calls may fail by errors that pass.
+const (
+	waitPatience = 10 * time.Second       // of a process that waits to take clients
+	stopPatience = 100 * time.Millisecond // of one that is about to end
+)
+
 // Open opens the lock in a folder. It fails when the folder can't be written to.
 func Open(dir string) (*Lock, error) {
+	return retry.For(waitPatience, nil, func() (*Lock, error) { return open(dir) })
+}
+
+func open(dir string) (*Lock, error) {
 	var c Lock
 	for name, file := range map[string]**os.File{"wickarch.held": &c.held, "wickarch.next": &c.next} {
 		f, err := os.OpenFile(filepath.Join(dir, name), os.O_RDWR|os.O_CREATE, 0o600)
@@ -37,26 +50,26 @@
 
 // Acquire waits until this process may take clients. It blocks a thread.
 func (c *Lock) Acquire() error {
-	if err := flock(c.next, syscall.LOCK_EX); err != nil {
+	if err := flock(c.next, syscall.LOCK_EX, waitPatience); err != nil {
 		return err
 	}
-	if err := flock(c.held, syscall.LOCK_EX); err != nil {
+	if err := flock(c.held, syscall.LOCK_EX, waitPatience); err != nil {
 		return err
 	}
-	return flock(c.next, syscall.LOCK_UN)
+	return flock(c.next, syscall.LOCK_UN, waitPatience)
 }
 
 // Contended reports whether another process waits for this one to stop.
 func (c *Lock) Contended() bool {
-	err := flock(c.next, syscall.LOCK_EX|syscall.LOCK_NB)
+	err := flock(c.next, syscall.LOCK_EX|syscall.LOCK_NB, stopPatience)
 	if err == nil {
-		_ = flock(c.next, syscall.LOCK_UN)
+		_ = flock(c.next, syscall.LOCK_UN, stopPatience)
 	}
 	return errors.Is(err, syscall.EWOULDBLOCK)
 }
 
 // Release lets the next process begin. The caller takes no client any more.
-func (c *Lock) Release() error { return flock(c.held, syscall.LOCK_UN) }
+func (c *Lock) Release() error { return flock(c.held, syscall.LOCK_UN, stopPatience) }
 
 // Close gives up the lock and its files.
 func (c *Lock) Close() {
@@ -67,14 +80,10 @@
 	}
 }
 
-func flock(f *os.File, how int) error {
-	for {
-		err := syscall.Flock(int(f.Fd()), how)
-		if !errors.Is(err, syscall.EINTR) {
-			if err != nil {
-				return fmt.Errorf("handover: lock %s: %w", f.Name(), err)
-			}
-			return nil
-		}
+func flock(f *os.File, how int, patience time.Duration) error {
+	_, err := retry.For(patience, nil, func() (struct{}, error) { return struct{}{}, syscall.Flock(int(f.Fd()), how) })
+	if err != nil {
+		return fmt.Errorf("handover: lock %s: %w", f.Name(), err)
 	}
+	return nil
 }
