Wait for a disk that fails for a moment, and outlive a half-written count

A coordinator ended when one write or sync of its disk failed (ENOSPC, EIO); three of them on disks that fill up at once leave no fleet control. A kill in the middle of writing the count beside its log left a file that no coordinator starts on.

Cause: the error of one call was taken for a disk that is gone; the count was written over in place, with nothing beside it.

A write is tried again for 10 s before the coordinator ends; nothing that rests on it has been told by then, and a bbolt transaction writes all its pages again. The count stands in two slots, written in turn; files of earlier builds are read as their first slot.

--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wickarch/internal/checksum"
+	"wickarch/internal/retry"
 	"wickarch/rollout/replica"
 )
 
@@ -83,7 +84,7 @@
 		err = os.Rename(half, path)
 	}
 	if err == nil && count == 0 {
-		err = write(d.countPath(), checksum.Seal(binary.BigEndian.AppendUint64(nil, d.count)))
+		err = writeCount(d.countPath(), d.count)
 	}
 	if err == nil {
 		err = syncFolder(dir)
@@ -191,15 +192,12 @@
 			return damaged("the count of its writes: %v", err)
 		}
 		d.count = binary.BigEndian.Uint64(count)
-		beside, err := os.ReadFile(d.countPath())
-		if err == nil {
-			beside, err = check(beside)
-		}
-		if err != nil || len(beside) != 8 {
+		beside, err := readCount(d.countPath())
+		if err != nil {
 			return damaged("%s: %v", d.countPath(), err)
 		}
-		if n := binary.BigEndian.Uint64(beside); n > d.count {
-			return damaged("it holds %d writes, and %d were made", d.count, n)
+		if beside > d.count {
+			return damaged("it holds %d writes, and %d were made", d.count, beside)
 		}
 		read := func(key []byte, m proto.Message) (bool, error) {
 			b, err := get(meta, key)
@@ -311,11 +309,12 @@
 
 func (d *Disk) countPath() string { return filepath.Join(filepath.Dir(d.path), countFile) }
 
-// update makes one write, and counts it in both files.
+// update makes one write, and counts it in both files. While the disk fails by errors that pass, it is
+// tried again: nobody has been told of it yet.
 func (d *Disk) update(f func(meta, log *bbolt.Bucket) error) error {
-	err := d.commit(f)
+	err := untilKept(func() error { return d.commit(f) })
 	if err == nil {
-		err = write(d.countPath(), checksum.Seal(binary.BigEndian.AppendUint64(nil, d.count)))
+		err = untilKept(func() error { return writeCount(d.countPath(), d.count) })
 	}
 	if err != nil {
 		return &DiskFailed{d.path, err}
@@ -323,6 +322,15 @@
 	return nil
 }
 
+// diskPatience is how long a coordinator waits for a disk that fails.
+const diskPatience = 10 * time.Second
+
+// untilKept repeats a write while it fails by an error that passes.
+func untilKept(write func() error) error {
+	_, err := retry.For(diskPatience, nil, func() (struct{}, error) { return struct{}{}, write() })
+	return err
+}
+
 func (d *Disk) commit(f func(meta, log *bbolt.Bucket) error) error {
 	err := d.db.Update(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
@@ -337,22 +345,6 @@
 	return err
 }
 
-// write writes a short file in place and syncs it.
-func write(path string, b []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.WriteAt(b, 0)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closed := f.Close(); err == nil {
-		err = closed
-	}
-	return err
-}
-
 func (d *Disk) put(b *bbolt.Bucket, key []byte, m proto.Message) error {
 	data, err := proto.Marshal(m)
 	if err != nil {
