Have an agent try its disk again for a second before it gives a state up

An agent whose disk failed for a moment (ENOSPC, EIO) killed the program that it had just started, or dropped the grant that it had been given.

Test: TestStateIsKeptThroughADiskThatFailsForAMoment, four of five faults fail without the repetition (a short write is completed by package os).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"wickarch/internal/retry"
 	"wickarch/internal/rolloutlink"
 	"wickarch/rollout"
 )
@@ -49,7 +50,7 @@
 	}
 	a := &Agent{cfg: cfg, log: log, began: time.Now(), mail: make(chan func(), 64), http: rolloutlink.NewHTTP(2 * cfg.Decides().Report), lock: lock}
 	var mem rollout.Memory
-	b, err := os.ReadFile(a.path())
+	b, err := retry.For(diskPatience, nil, func() ([]byte, error) { return os.ReadFile(a.path()) })
 	switch {
 	case errors.Is(err, os.ErrNotExist):
 	case err != nil:
--- /dev/null
+++ b/internal/agent/diskfaults_test.go
@@ -0,0 +1,51 @@
+//go:build linux && amd64
+
+package agent
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"wickarch/internal/faultinject"
+)
+
+// asWriter makes the test's own binary replace the file that it names.
+const asWriter = "AGENT_TEST_WRITER"
+
+func TestMain(m *testing.M) {
+	faultinject.RunRole()
+	if path := os.Getenv(asWriter); path != "" {
+		if err := replaceFile(path, []byte("new")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a program that is killed as it starts, or a grant that is dropped, because the agent's disk failed for a moment.
+func TestStateIsKeptThroughADiskThatFailsForAMoment(t *testing.T) {
+	for _, fault := range []faultinject.Rule{
+		{Call: faultinject.Open, Fault: "ENOSPC"}, {Call: faultinject.WriteFile, Fault: "ENOSPC"}, {Call: faultinject.WriteFile, Fault: "EIO"},
+		{Call: faultinject.WriteFile, Fault: faultinject.Short, Bytes: 1}, {Call: faultinject.Sync, Fault: "EIO"},
+	} {
+		fault.Path, fault.Share, fault.Most = "state.new", 1, 3
+		env, err := faultinject.Environment("", 1, fault)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(t.TempDir(), "state")
+		cmd := exec.CommandContext(t.Context(), os.Args[0])
+		cmd.Env = append(append(os.Environ(), env...), asWriter+"="+path)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Errorf("%s %s: %v: %s", fault.Call, fault.Fault, err, out)
+		}
+		if kept, err := os.ReadFile(path); err != nil || string(kept) != "new" {
+			t.Errorf("%s %s: %q, %v", fault.Call, fault.Fault, kept, err)
+		}
+	}
+}
--- a/internal/agent/program.go
+++ b/internal/agent/program.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"wickarch/internal/retry"
 	"wickarch/internal/rolloutlink"
 	"wickarch/rollout"
 )
@@ -345,8 +346,16 @@
 
 func newClient() *http.Client { return rolloutlink.NewHTTP(2 * time.Second) }
 
-// replaceFile writes a file as a whole and syncs it.
+// diskPatience is how long an agent waits for a disk that fails.
+const diskPatience = time.Second
+
+// replaceFile writes a file as a whole and syncs it. While the disk fails by errors that pass it is tried again.
 func replaceFile(path string, b []byte) error {
+	_, err := retry.For(diskPatience, nil, func() (struct{}, error) { return struct{}{}, replaceOnce(path, b) })
+	return err
+}
+
+func replaceOnce(path string, b []byte) error {
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
