End in order by a SIGTERM that comes while the start waits for a call

An ingress that waited for a failing call at its start ended by SIGTERM as by a crash (exit status 143): the signal was taken only behind the configuration's reading.

Signals are taken from the first moment, and the start's waits end with them; nothing has been taken by then, so the process ends with 0.

Test: TestStartThatWaitsEndsBySigterm, which failed with status 143.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -468,6 +469,41 @@
 	}
 }
 
+// Guards against a process that ends by a signal while its start waits for a call that fails: it has taken
+// nothing and ends in order.
+func TestStartThatWaitsEndsBySigterm(t *testing.T) {
+	s := around(t, limits)
+	s.node.Name = "waits"
+	if _, err := s.node.Write(s.dir); err != nil {
+		t.Fatal(err)
+	}
+	env, err := faultinject.Environment("", 1, faultinject.Rule{Call: faultinject.Open, Path: "waits.json", Fault: "EIO", Share: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(append(os.Environ(), env...), asProgram+"=1", "NODE_CONFIG="+s.dir+"/waits.json")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(log)
+	if !lines.Scan() || !strings.Contains(lines.Text(), "waits for a system call") {
+		t.Errorf("the program says %q", lines.Text())
+	}
+	if err = cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for lines.Scan() { // to its end
+	}
+	if err = cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
 // Guards against two processes that take clients at once, because the lock between them failed for a moment.
 func TestHandoverOutlivesLocksThatFail(t *testing.T) {
 	for _, fault := range []faultinject.Rule{
--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -55,17 +55,23 @@
 	// Taken from the first moment on: by default SIGHUP ends the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := atStart(func() (ingress.Config, error) { return ingress.LoadConfig(os.Getenv) })
+	// Until the process has ended: were the signals let go when the last answer is written, a second SIGTERM
+	// would end an ingress that has done all it owes as if it had crashed.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	cfg, err := atStart(ctx, func() (ingress.Config, error) { return ingress.LoadConfig(os.Getenv) })
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	cfg.Own = own
 	cfg.Limits = cfg.Limits.Held()
 	cfg.Limits.Apply()
-	// Until the process has ended: were the signals let go when the last answer is written, a second SIGTERM
-	// would end an ingress that has done all it owes as if it had crashed.
-	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	srv, err := atStart(func() (*ingress.Server, error) { return ingress.Listen(cfg) })
+	srv, err := atStart(ctx, func() (*ingress.Server, error) { return ingress.Listen(cfg) })
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/cmd/wickarch/retry.go
+++ b/cmd/wickarch/retry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"log/slog"
 	"os"
 	"time"
@@ -14,9 +15,15 @@
 	longestPause  = time.Second
 )
 
-// atStart repeats a step of the start while it fails by a passing error.
-func atStart[T any](step func() (T, error)) (T, error) {
-	return retry.For(startPatience, func(err error) { slog.Warn("the start waits for a system call that fails", "error", err) }, step)
+// atStart repeats a step of the start while it fails by a passing error, until ctx ends.
+func atStart[T any](ctx context.Context, step func() (T, error)) (T, error) {
+	failed := func(err error) { slog.Warn("the start waits for a system call that fails", "error", err) }
+	return retry.For(startPatience, failed, func() (v T, err error) {
+		if err = ctx.Err(); err != nil {
+			return v, err
+		}
+		return step()
+	})
 }
 
 // followSignals takes over the configuration at each signal. One that can't be read is read again until it
