Serve on when nobody reads the log any more

An ingress whose standard error was a pipe that had been closed ended with its next log line: the Go runtime ends a process by SIGPIPE there. All that it had taken was lost.

SIGPIPE is ignored; a line that can't be written is dropped.

Test: TestLogThatNobodyReadsEndsNothing, which failed (the process was gone).

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -504,6 +504,59 @@
 	}
 }
 
+// Guards against an ingress that ends with its log: whoever reads that has gone.
+func TestLogThatNobodyReadsEndsNothing(t *testing.T) {
+	s := around(t, limits)
+	var err error
+	if s.node.Listen, err = standin.Reserve(); err != nil {
+		t.Fatal(err)
+	}
+	path, err := s.node.Write(s.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path)
+	cmd.Stderr = write
+	if err = cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = write.Close()
+	if err = standin.WaitReady(s.node.Listen, patience); err != nil {
+		t.Fatal(err)
+	}
+	_ = read.Close()
+	for range 3 { // each is logged
+		if err = cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-s.discovery.Watched:
+		case <-time.After(patience):
+			t.Fatal("it does not watch discovery any more")
+		}
+	}
+	c, err := standin.Dial(s.node.Listen, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	id := standin.NewID()
+	if got := c.Ask(id, standin.Lookup(1, id, int(deadline.Milliseconds()))...); got != standin.Served {
+		t.Errorf("a request ended as %d", got)
+	}
+	if err = cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err = cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
 // Guards against two processes that take clients at once, because the lock between them failed for a moment.
 func TestHandoverOutlivesLocksThatFail(t *testing.T) {
 	for _, fault := range []faultinject.Rule{
--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -58,6 +58,7 @@
 	// Until the process has ended: were the signals let go when the last answer is written, a second SIGTERM
 	// would end an ingress that has done all it owes as if it had crashed.
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more
 	cfg, err := atStart(ctx, func() (ingress.Config, error) { return ingress.LoadConfig(os.Getenv) })
 	if errors.Is(err, context.Canceled) {
 		return nil
