Judge shortages of descriptors in a type of their own

They are one type without I/O now, with a test; behaviour is the same.

Test: TestShortageIsTheProcesssOwnWhereItHoldsMuchOrItLasts; the tests of crowds, real shortages and failing accepts pass.

--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -12,16 +12,13 @@
 )
 
 const (
-	acceptRetry = 5 * time.Millisecond
-	// passingShortage is how long a shortage may last that the process has no part in.
-	passingShortage = 500 * time.Millisecond
-	trialMost       = 80 * time.Millisecond // between two looks whether descriptors are short still, at most
-	growAfter       = time.Second           // without a failed accept, for one place back
-	acceptBatch     = 64                    // connections taken before the others have their turn
-	partBatch       = 64                    // connections closed that their clients have ended, likewise
-	pacePause       = time.Millisecond
-	readBatch       = 4 // reads from one connection before the others have theirs
-	sharedBuffer    = 64 << 10
+	acceptRetry  = 5 * time.Millisecond
+	growAfter    = time.Second // without a failed accept, for one place back
+	acceptBatch  = 64          // connections taken before the others have their turn
+	partBatch    = 64          // connections closed that their clients have ended, likewise
+	pacePause    = time.Millisecond
+	readBatch    = 4 // reads from one connection before the others have theirs
+	sharedBuffer = 64 << 10
 )
 
 // front holds the listener and the clients' connections. Connections at rest
@@ -45,11 +42,7 @@
 	acceptable bool          // the listener may have more
 	retryAt    time.Duration // accept failed, or had its batch: not before then; 0 when not
 	growAt     time.Duration // a place is given back then; 0 when it has them all
-	trialAt    time.Duration // with no place left since a shortage: not tried again before then
-	trialWait  time.Duration // how long that waits
-	heldShort  int           // connections held at the last shortage of its own
-	shortSince time.Duration // since when no connection was to be had; 0 when one was
-	shortAt    time.Duration // when one was last missed
+	short      shortage
 	partAt     time.Duration // the next batch of those parting comes no sooner
 	lastLook   bool          // the listener closes once nothing waits in its queue
 	draining   bool
@@ -68,7 +61,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{cfg: cfg, loop: l, admission: d, buf: make([]byte, sharedBuffer), empty: make(chan struct{})}
+	f := &front{cfg: cfg, loop: l, admission: d, buf: make([]byte, sharedBuffer), empty: make(chan struct{}),
+		short: shortage{half: cfg.Limits.Sockets / 2}}
 	address := cfg.Listen
 	if cfg.Passed != "" {
 		address = cfg.Passed
@@ -117,7 +111,7 @@
 	earlier(f.admission.NextDue(f.waiting()))
 	earlier(f.retryAt, f.retryAt > 0)
 	earlier(f.growAt, f.growAt > 0)
-	earlier(f.trialAt, takes && f.admission.Shrunk())
+	earlier(f.short.trialAt, takes && f.admission.Shrunk())
 	earlier(f.partAt, len(f.parting) > 0)
 	return at, any
 }
@@ -245,7 +239,7 @@
 		switch {
 		case err == nil:
 			f.add(nc, now)
-			f.judgeShortage()
+			f.hadOne()
 		case errors.Is(err, reactor.ErrWait):
 			f.acceptable = false
 		case errors.Is(err, reactor.ErrFiles): // the next ones wait in the queue
@@ -258,9 +252,8 @@
 	}
 }
 
-// tries tells whether a connection is to be taken beyond the places that a shortage has left: only
-// that shows whether it lasts.
-func (f *front) tries(now time.Duration) bool { return f.admission.Shrunk() && now >= f.trialAt }
+// tries tells whether a connection is to be taken beyond the places that a shortage has left.
+func (f *front) tries(now time.Duration) bool { return f.admission.Shrunk() && f.short.due(now) }
 
 // watchAgain has the poller watch the connections that it could not take.
 func (f *front) watchAgain(now time.Duration) {
@@ -274,28 +267,17 @@
 	}
 }
 
-// judgeShortage gives the places back when more connections are held than when descriptors ran
-// out: what was short then was not what the process holds.
-func (f *front) judgeShortage() {
-	f.shortSince = 0
-	switch {
+// hadOne notes that a connection was to be had, and gives the places back where that shows that
+// descriptors are not short.
+func (f *front) hadOne() {
+	switch over := f.short.over(f.heldNow()); {
 	case !f.admission.Shrunk():
-	case f.heldNow() > f.heldShort:
+	case over:
 		f.admission.Restore()
-		f.growAt, f.trialAt, f.trialWait = 0, 0, 0
+		f.growAt = 0
 	case !f.admission.HasRoom():
-		f.trialAt = f.loop.Now() + f.trialWait
-	}
-}
-
-// ownShortage tells whether it may be what this process holds that is short: it holds much of what it may,
-// or the shortage lasts.
-func (f *front) ownShortage(now time.Duration) bool {
-	if f.shortSince == 0 || now-f.shortAt > passingShortage/2 {
-		f.shortSince = now
+		f.short.postpone(f.loop.Now())
 	}
-	f.shortAt = now
-	return f.heldNow() >= f.cfg.Limits.Sockets/2 || now-f.shortSince >= passingShortage
 }
 
 // heldNow is how many connections the process holds.
@@ -305,13 +287,10 @@
 // is, and closes one at rest in place of what was wanted.
 func (f *front) shrink(now time.Duration) {
 	f.retryAt = now + acceptRetry
-	if !f.ownShortage(now) {
+	if !f.short.own(now, f.heldNow()) {
 		return
 	}
 	f.admission.Shrink()
-	f.heldShort = f.heldNow()
-	f.trialWait = min(max(acceptRetry, 2*f.trialWait), trialMost)
-	f.trialAt = now + f.trialWait
 	f.growAt = now + growAfter
 	f.admission.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
 }
