Soak: a hard ceiling, and bounds that know when the machine held a process up

The soak had no customer under a hard ceiling, and its bounds of 50 to 150 ms can't be held by any process that gets no processor: beside other tests it would tell of faults that are the machine's.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,6 +20,7 @@
 	waitsOn     = time.Second            // how long a client waits beyond a request's time
 	mostBody    = 40_000                 // bytes
 	mostBehind  = 4                      // requests written behind each other
+	rudeSpare   = 300 * time.Millisecond // of that, what the ingress leaves unused
 	rudePeriod  = 3 * time.Second        // in which a client that stops in a command is owed an error or a close
 )
 
@@ -106,6 +107,9 @@
 	limits := []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, s.run.cfg.longest()}
 	q := &request{id: standin.NewID(), kind: kind(rand.IntN(int(kinds))), customer: uint64(1 + rand.IntN(40)), ingress: s.in, life: s.life,
 		first: s.asked == 1, begun: s.begun, limit: limits[rand.IntN(len(limits))], body: 4}
+	if rand.Float64() < 0.1 {
+		q.capped, q.customer = true, cappedCustomer
+	}
 	if rand.Float64() < 0.05 {
 		q.body = rand.IntN(mostBody)
 	}
@@ -114,13 +118,20 @@
 
 // words are the request as it is sent.
 func (q *request) words(spread int) []string {
-	options := fmt.Sprintf("c=%s,t=basic,d=%d,units=1,spread=%d,first=0", classNames[q.kind], q.limit.Milliseconds(), spread)
+	plan := "basic"
+	if q.capped {
+		plan = "capped"
+	}
+	options := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=%d,first=0", classNames[q.kind], plan, q.limit.Milliseconds(), spread)
 	if q.kind == lookup {
 		return []string{"Q.ASK", fmt.Sprintf("%016x", q.customer), q.id, options}
 	}
 	return []string{"Q.DO", fmt.Sprintf("%016x", q.customer), q.id, options, strings.Repeat("B", q.body)}
 }
 
+// cappedCustomer is the one whose plan has a hard ceiling.
+const cappedCustomer = 99
+
 var classNames = [kinds]string{"lookup", "order", "payment"}
 
 // send writes requests behind each other, whole or in pieces, and tells whether all of them went.
@@ -247,7 +258,7 @@
 	_ = s.nc.SetReadDeadline(begun.Add(rudePeriod)) // likewise
 	_, err := s.answers.ReadByte()
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.As(err, &timeout) && timeout.Timeout() && s.run.heldUp(begun, time.Now()) < rudeSpare {
 		s.run.violate(nil, "%s leaves half a command without an error or a close for %v", s.in.node.Name, rudePeriod)
 	}
 }
--- a/internal/soak/ingress.go
+++ b/internal/soak/ingress.go
@@ -176,6 +176,9 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	err := process.Wait(time.Until(now.Add(i.run.cfg.longest() + killGrace)))
+	if err != nil && !process.HasEnded() {
+		err = process.Wait(i.run.heldUp(now, time.Now()))
+	}
 	if err != nil && !process.HasEnded() {
 		_ = process.Cmd.Process.Kill()
 		_ = process.Wait(endPatience)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -31,6 +31,7 @@
 	id       string
 	kind     kind
 	customer uint64
+	capped   bool // its plan has a hard ceiling
 	ingress  *ingress
 	life     int       // of the ingress's processes, at the time
 	first    bool      // the first on its connection
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,6 +53,8 @@
 // Report is what came of a run.
 type Report struct {
 	Requests, Attempts, Crossed, Left, Killed int
+	Capped                                    int            // tries under the hard ceiling that were sent on
+	HeldUp                                    float64        // share of the time in which the machine held something up
 	Ends                                      [wrong + 1]int // by answerKind
 	Stops, Kills, Reloads, Replaced           int
 	Faults                                    map[string]int // system calls that failed, by call and error
@@ -66,8 +68,8 @@
 		calls += n
 	}
 	return fmt.Sprintf("%d requests (%d served, %d refused, %d failed, %d left, %d crossed an end, %d killed), %d attempts, %d calls failed in %d ways, "+
-		"%d stops, %d kills, %d reloads, %d backends replaced: %d violations", r.Requests, r.Ends[served], r.Ends[refused], r.Ends[failed], r.Left, r.Crossed,
-		r.Killed, r.Attempts, calls, len(r.Faults), r.Stops, r.Kills, r.Reloads, r.Replaced, len(r.Violations))
+		"%d tries under the ceiling, %d stops, %d kills, %d reloads, %d backends replaced, the machine held up %.0f%%: %d violations", r.Requests, r.Ends[served], r.Ends[refused], r.Ends[failed], r.Left, r.Crossed,
+		r.Killed, r.Attempts, calls, len(r.Faults), r.Capped, r.Stops, r.Kills, r.Reloads, r.Replaced, 100*r.HeldUp, len(r.Violations))
 }
 
 // run is one run under way.
@@ -78,6 +80,7 @@
 	registry  *standin.Registry
 	ingresses []*ingress
 	record    record
+	stalls    stalls
 
 	mu       sync.Mutex
 	backends []*backend
@@ -92,6 +95,7 @@
 	r := &run{cfg: cfg, begun: time.Now(), rng: newSharedRand(cfg.Seed), registry: standin.NewRegistry(), record: record{requests: map[string]*request{}},
 		report: Report{Faults: map[string]int{}}}
 	defer r.registry.Stop()
+	go r.stalls.watch(ctx)
 	for range cfg.Backends {
 		if _, err := r.addBackend(time.Time{}); err != nil {
 			return r.report, err
@@ -116,9 +120,17 @@
 	leave()
 	asking.Wait()
 	r.judge()
+	r.report.HeldUp = float64(r.stalls.within(r.begun, time.Now())) / float64(time.Since(r.begun))
 	return r.report, nil
 }
 
+// The hard ceiling of the capped plan, in units: a second, in its bucket, and below it.
+const (
+	ceilingRate      = 36.0
+	ceilingBurst     = 36.0
+	ceilingTolerance = 12.0
+)
+
 const quiet = 500 * time.Millisecond // with no further fault, before all are stopped
 
 // startAll starts all ingresses at once.
@@ -203,8 +215,10 @@
   {"name":"order","aim_ms":200,"give_up_ms":%[3]d,"effect":"guarded","dedup_scope":"all","worth":4,"window_ms":%[4]d},
   {"name":"payment","aim_ms":200,"give_up_ms":%[3]d,"effect":"single_shot","dedup_scope":"all","worth":6,"window_ms":1000}],
  "specifics":{"max_units":1,"use_period_ms":500},
- "tiers_of_service":[{"name":"basic","quota_rate":1e6,"burst":1e6,"price":1}],"weights":"nominal"}`
-	return json.RawMessage(fmt.Sprintf(text, r.cfg.Ingresses, n, r.cfg.longest().Milliseconds(), keyedWindow.Milliseconds()))
+ "tiers_of_service":[{"name":"basic","quota_rate":1e6,"burst":1e6,"price":1},
+  {"name":"capped","quota_rate":1e6,"burst":1e6,"price":1,"hard_rate":%[5]g,"hard_burst":%[6]g,"tolerance":%[7]g}],"weights":"nominal"}`
+	return json.RawMessage(fmt.Sprintf(text, r.cfg.Ingresses, n, r.cfg.longest().Milliseconds(), keyedWindow.Milliseconds(),
+		ceilingRate, ceilingBurst, ceilingTolerance))
 }
 
 // sharedRand is a generator for several goroutines.
