--- a/internal/coordinator/diskfaults_test.go
+++ b/internal/coordinator/diskfaults_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -44,6 +45,16 @@
 	}
 }
 
+// keptIndex is the entry that a line of the writer tells.
+func keptIndex(line string) (index uint64, ok bool) {
+	number, ok := strings.CutPrefix(line, "kept ")
+	if !ok {
+		return 0, false
+	}
+	index, err := strconv.ParseUint(number, 10, 64)
+	return index, err == nil
+}
+
 // Guards against a coordinator that ends, or forgets what it has confirmed, because its disk failed for a moment: writes
 // and syncs fail and are short, and the process is killed in their midst, again and again.
 func TestDiskKeepsWhatItConfirmedThroughFailingWrites(t *testing.T) {
@@ -75,8 +86,8 @@
 		lines := bufio.NewScanner(out)
 		kept := 0
 		for kept < 25 && lines.Scan() {
-			index, err := strconv.ParseUint(lines.Text()[min(len("kept "), len(lines.Text())):], 10, 64)
-			if err != nil {
+			index, ok := keptIndex(lines.Text())
+			if !ok {
 				t.Fatalf("round %d: the writer says %q", round, lines.Text())
 			}
 			confirmed = max(confirmed, index)
@@ -87,7 +98,7 @@
 		}
 		cmd.Process.Kill()
 		for lines.Scan() { // what it had said before its end
-			if index, err := strconv.ParseUint(lines.Text()[min(len("kept "), len(lines.Text())):], 10, 64); err == nil {
+			if index, ok := keptIndex(lines.Text()); ok {
 				confirmed = max(confirmed, index)
 			}
 		}
