--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -1,3 +1,5 @@
+//go:build linux && amd64
+
 package soak
 
 import (
@@ -217,7 +219,9 @@
 	if m.latency > 0 {
 		time.Sleep(time.Duration(rand.Int64N(int64(m.latency))))
 	}
-	good := fmt.Appendf(nil, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(valueOf(id)), valueOf(id))
+	value := valueOf(id)
+	good := fmt.Appendf(nil, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+	spoils := false
 	switch {
 	case pick(m.hang):
 		<-ended
@@ -226,29 +230,43 @@
 		_ = nc.(*net.TCPConn).SetLinger(0)
 		return false
 	case pick(m.fail):
-		good = []byte("-ERR failed\r\n")
+		good, spoils = []byte("-ERR failed\r\n"), true
 	case pick(m.spoilt):
-		good = []byte(spoilt[rand.IntN(len(spoilt))])
+		good, spoils = []byte(spoilt[rand.IntN(len(spoilt))]), true
 	case pick(m.twice):
 		good = append(good, good...)
 	}
-	if pick(m.pieces) || rand.Float64() < m.pieces {
+	if rand.Float64() < m.pieces {
+		most := 8 + len(good)/8
 		for len(good) > 0 {
-			n := min(len(good), 1+rand.IntN(8))
+			n := min(len(good), 1+rand.IntN(most))
 			if _, err := nc.Write(good[:n]); err != nil {
 				return false
 			}
 			good = good[n:]
 			time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
 		}
-		return true
+	} else if _, err := nc.Write(good); err != nil {
+		return false
 	}
-	_, err := nc.Write(good)
-	return err == nil
+	if !spoils {
+		b.run.record.wrote(a)
+	}
+	return true
 }
 
 // spoilt are answers that can't be read.
 var spoilt = []string{"%noise\r\n", "*3\r\n$999999999999\r\n", "*3\r\n$5\r\nab\r\n$-1\r\n$-1\r\n", "*2\r\n$1\r\na\r\n$-1\r\n", "\x00\x01\x02"}
 
-// valueOf is the value that every backend makes for a request.
-func valueOf(id string) string { return "value-of-" + id }
+// valueOf is the value that every backend makes for a request: mostly a short one, now and then one of some
+// thousand bytes, or one too large to be held by the ingress.
+func valueOf(id string) string {
+	value := "value-of-" + id
+	switch id[len(id)-2:] {
+	case "00", "01", "02", "03", "04", "05":
+		return strings.Repeat(value, 1000)
+	case "10", "11", "12":
+		return strings.Repeat(value, 8000)
+	}
+	return value
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -1,3 +1,5 @@
+//go:build linux && amd64
+
 package soak
 
 import (
@@ -235,11 +237,12 @@
 		return wrong, nil
 	}
 	n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
-	if err != nil || n < 0 || n > 1<<16 {
+	if err != nil || n != len(valueOf(q.id)) {
 		return wrong, nil
 	}
 	value := make([]byte, n+2)
 	if _, err = io.ReadFull(s.answers, value); err != nil {
+		s.run.record.change(q, func(q *request) { q.answer, q.answered = partial, time.Now() })
 		return none, err
 	}
 	if string(value[:n]) != valueOf(q.id) {
--- a/internal/soak/ingress.go
+++ b/internal/soak/ingress.go
@@ -1,3 +1,5 @@
+//go:build linux && amd64
+
 package soak
 
 import (
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -1,3 +1,5 @@
+//go:build linux && amd64
+
 package soak
 
 import (
@@ -66,6 +68,8 @@
 	case q.sent.IsZero(): // it never went out whole
 	case q.answer == wrong:
 		r.violate(q, "lost: the answer is not its own")
+	case q.answer == partial:
+		r.judgePartial(q)
 	case q.answer != none:
 		if late := q.answered.Sub(q.sent) - q.inOrder - answerGrace; late > r.heldUp(q.sent, q.answered) {
 			r.violate(q, "lost: its answer came %v too late", late)
@@ -85,6 +89,19 @@
 	}
 }
 
+// judgePartial wants a value that broke off to have done so at its backend, or at its client's hands.
+func (r *run) judgePartial(q *request) {
+	if !q.left.IsZero() || q.ingress.wasKilled(q) {
+		return
+	}
+	for _, a := range q.attempts {
+		if !a.whole {
+			return
+		}
+	}
+	r.violate(q, "lost: its value broke off, and its backend had written all of it")
+}
+
 // judgeAttempts holds what backends saw against the rules.
 func (r *run) judgeAttempts(q *request) {
 	attempts := slices.Clone(q.attempts)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,3 +1,5 @@
+//go:build linux && amd64
+
 package soak
 
 import (
@@ -24,6 +26,7 @@
 	refused                   // -BUSY
 	failed                    // any other answer
 	wrong                     // a value made for another, or what can't be read
+	partial                   // a value that broke off, as its client can tell
 )
 
 // request is one request as its client saw it.
@@ -55,6 +58,7 @@
 	limit   time.Duration // as it was told
 	ended   time.Time     // answered, or its connection ended; zero: neither
 	ran     bool          // it was not turned away
+	whole   bool          // its value was written whole, as it should be
 }
 
 // record holds all requests of a run.
@@ -71,6 +75,13 @@
 	r.order = append(r.order, q)
 }
 
+// wrote notes that the value of an attempt was written whole.
+func (r *record) wrote(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.whole = true
+}
+
 // change changes a request under the record's lock.
 func (r *record) change(q *request, f func(*request)) {
 	r.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,3 +1,5 @@
+//go:build linux && amd64
+
 // Package soak runs a small installation of real processes on loopback under random, overlapping faults,
 // and judges it by the rules: system calls that fail, connections cut, silenced and reset, backends that
 // hang, reset, spoil their answers, drain and come back cold, signals in series, kills, clients that leave,
@@ -53,9 +55,9 @@
 // Report is what came of a run.
 type Report struct {
 	Requests, Attempts, Crossed, Left, Killed int
-	Capped                                    int            // tries under the hard ceiling that were sent on
-	HeldUp                                    float64        // share of the time in which the machine held something up
-	Ends                                      [wrong + 1]int // by answerKind
+	Capped                                    int              // tries under the hard ceiling that were sent on
+	HeldUp                                    float64          // share of the time in which the machine held something up
+	Ends                                      [partial + 1]int // by answerKind
 	Stops, Kills, Reloads, Replaced           int
 	Faults                                    map[string]int // system calls that failed, by call and error
 	Violations                                []string
