Soak: a value that breaks off with the connection it comes on is no loss

The trace: the ingress's read of that connection had failed with EHOSTUNREACH (a broken connection, 266 to 489 ms; the request was sent at 302 ms), in the middle of 200 KB that it was passing on. The check stays where no connection was made to break.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -103,7 +103,7 @@
 func (i *ingress) callsFail(ctx context.Context, rng *rand.Rand) {
 	for rest(ctx, rng, calmLeast, calmMost) {
 		var rules []faultinject.Rule
-		blinds := false
+		blinds, breaks := false, false
 		for range 1 + rng.IntN(mostRules) {
 			f := callFaults[rng.IntN(len(callFaults))]
 			f.rule.Share = []float64{0.05, 0.3, 1}[rng.IntN(3)]
@@ -111,7 +111,7 @@
 				f.rule.Share = 0.1
 			}
 			rules = append(rules, f.rule)
-			blinds = blinds || f.blinds
+			blinds, breaks = blinds || f.blinds, breaks || f.rule.Broken
 		}
 		lasts := time.Duration(faultLeast+rng.IntN(faultMost-faultLeast)) * time.Millisecond
 		_, control := i.last()
@@ -128,7 +128,7 @@
 			i.blinds(from, time.Now())
 		}
 		i.mu.Lock()
-		i.failing = append(i.failing, window{span{from, time.Now()}, describe(rules)})
+		i.failing = append(i.failing, window{span{from, time.Now()}, describe(rules), breaks})
 		i.mu.Unlock()
 		if err == nil {
 			i.run.applied(control, applied)
--- a/internal/soak/ingress.go
+++ b/internal/soak/ingress.go
@@ -47,7 +47,15 @@
 // window is a time in which system calls failed.
 type window struct {
 	span
-	rules string
+	rules  string
+	breaks bool // connections to backends
+}
+
+// broke tells whether connections to backends broke within a time.
+func (i *ingress) broke(from, to time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.ContainsFunc(i.failing, func(w window) bool { return w.breaks && w.from.Before(to) && w.to.After(from) })
 }
 
 // failed tells which calls failed within a time.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -89,9 +89,10 @@
 	}
 }
 
-// judgePartial wants a value that broke off to have done so at its backend, or at its client's hands.
+// judgePartial wants a value that broke off to have done so at its backend, on the way from there, or at its
+// client's hands.
 func (r *run) judgePartial(q *request) {
-	if !q.left.IsZero() || q.ingress.wasKilled(q) {
+	if !q.left.IsZero() || q.ingress.wasKilled(q) || q.ingress.broke(q.sent, q.answered) {
 		return
 	}
 	for _, a := range q.attempts {
