--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -115,10 +115,8 @@
 			// Descriptors have run out. The oldest caller without a whole call
 			// makes room for one that may have more to say.
 			// Where there is none, clients have them all, and one at rest does so.
-			if e := s.conns.Front(); e != nil {
-				e.Value.(*conn).close()
-			} else {
-				s.node.Starved()
+			if errors.Is(err, reactor.ErrFiles) {
+				s.makeRoom()
 			}
 			s.retryAt = now + acceptRetry
 			return
@@ -127,6 +125,15 @@
 	}
 }
 
+// makeRoom closes the oldest connection, or has the clients' part close one.
+func (s *Server) makeRoom() {
+	if e := s.conns.Front(); e != nil {
+		e.Value.(*conn).close()
+	} else {
+		s.node.Starved()
+	}
+}
+
 // Next tells when Round has something to do though nothing happens.
 func (s *Server) Next() (at time.Duration, any bool) { return s.retryAt, s.acceptable }
 
