Step the wall clock of the real program: a shim, a test, and steps in the soak

That the program outlives steps of the wall clock was shown for one type alone. The tracer now has the program's copy of the kernel's clock code make the system call, and answers readings of the wall clock off by as much as it is told; the monotonic clock is untouched.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -35,11 +35,12 @@
 type faulty struct {
 	*site
 	control *faultinject.Control
-	admin   string // its second address
+	admin   string             // its second address
+	first   []faultinject.Rule // in force from its first moment
 }
 
-// startFaulty starts the program with rules in force from its first moment.
-func startFaulty(t *testing.T, first ...faultinject.Rule) *faulty {
+// startFaulty starts the program, changed before.
+func startFaulty(t *testing.T, change ...func(*faulty)) *faulty {
 	t.Helper()
 	f := &faulty{site: around(t, limits)}
 	f.node.Settings = json.RawMessage(strings.ReplaceAll(string(f.node.Settings), `"give_up_ms":20000`,
@@ -48,7 +49,10 @@
 		f.control, err = faultinject.NewControl(cmd)
 		return err
 	}
-	env, err := faultinject.Environment("", 1, first...)
+	for _, c := range change {
+		c(f)
+	}
+	env, err := faultinject.Environment("", 1, f.first...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -319,10 +323,10 @@
 	}
 }
 
-// events is a count of /status/events.
-func (f *faulty) events(name string) (n int) {
+// get asks the second address.
+func (f *faulty) get(path string) string {
 	f.Helper()
-	answer, err := http.Get("http://" + f.admin + "/status/events")
+	answer, err := http.Get("http://" + f.admin + path)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -331,9 +335,17 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, field := range strings.Fields(string(text)) {
+	return string(text)
+}
+
+// events is a count of /status/events.
+func (f *faulty) events(name string) (n int) {
+	f.Helper()
+	text := f.get("/status/events")
+	for _, field := range strings.Fields(text) {
 		if value, ok := strings.CutPrefix(field, name+"="); ok {
-			if n, err = strconv.Atoi(value); err != nil {
+			n, err := strconv.Atoi(value)
+			if err != nil {
 				f.Fatal(err)
 			}
 			return n
@@ -557,6 +569,62 @@
 	}
 }
 
+// Guards against deadlines, waits and starts of backends that go by the wall clock: it is stepped while requests
+// come, and a backend that starts behind the step, by all machines' clock, is cold.
+func TestStepsOfTheWallClockChangeNothing(t *testing.T) {
+	for _, off := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		t.Run(off.String(), func(t *testing.T) {
+			t.Parallel()
+			f := startFaulty(t, func(f *faulty) {
+				f.node.Settings = json.RawMessage(strings.ReplaceAll(string(f.node.Settings), `"cold_ms":1000`, `"cold_ms":25000`))
+			})
+			c := f.dial()
+			held := newIDs(1)[0]
+			h := f.dial()
+			sent := time.Now()
+			if err := h.Send(standin.Lookup(hole, held, 1000)...); err != nil {
+				t.Fatal(err)
+			}
+			if err := f.control.StepClock(off); err != nil {
+				t.Fatal(err)
+			}
+			ids := newIDs(10)
+			f.judge(ids, f.sendAll(c, ids))
+			if got := h.Outcome(held); got > standin.Failed {
+				t.Errorf("the request that hung ended as %d", got)
+			}
+			if took := time.Since(sent); took < 900*time.Millisecond || took > 1500*time.Millisecond {
+				t.Errorf("its second took %v", took)
+			}
+			cold := f.member
+			cold.ID, cold.UpSince = "cold", time.Now().Add(off).UnixMilli()
+			line, err := json.Marshal(map[string]any{"revision": standin.FirstRevision + 1, "complete": false, "members": []standin.Member{cold}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case f.discovery.Lines <- string(line):
+			case <-time.After(patience):
+				t.Fatal("discovery is not watched")
+			}
+			for end := time.Now().Add(patience); !strings.Contains(f.get("/status/backends"), "cold state="); {
+				if time.Now().After(end) {
+					t.Fatal("the backend is not listed")
+				}
+				time.Sleep(time.Millisecond)
+			}
+			for line := range strings.Lines(f.get("/status/backends")) {
+				if strings.HasPrefix(line, "cold ") && strings.Contains(line, "warmth=1.00") {
+					t.Errorf("a backend that has just started is warm: %s", line)
+				}
+			}
+			if err := f.Stop(patience); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // Guards against two processes that take clients at once, because the lock between them failed for a moment.
 func TestHandoverOutlivesLocksThatFail(t *testing.T) {
 	for _, fault := range []faultinject.Rule{
@@ -607,7 +675,7 @@
 	} {
 		t.Run(fmt.Sprint(fault.Call, " ", fault.Fault), func(t *testing.T) {
 			t.Parallel()
-			f := startFaulty(t, fault)
+			f := startFaulty(t, func(f *faulty) { f.first = []faultinject.Rule{fault} })
 			f.set()
 			f.takesClients(5)
 			if err := f.Stop(patience); err != nil {
--- a/internal/faultinject/calls.go
+++ b/internal/faultinject/calls.go
@@ -133,6 +133,10 @@
 	if syscall.PtraceGetRegs(tid, &regs) != nil {
 		return // the thread has ended
 	}
+	if regs.Orig_rax == unix.SYS_CLOCK_GETTIME {
+		t.clock(tid, &regs)
+		return
+	}
 	handler := handlers[int(regs.Orig_rax)]
 	if handler == nil {
 		return
@@ -168,7 +172,7 @@
 	fail(tid, &regs, errno)
 }
 
-// fail has the call return an error in place of being carried out.
+// fail has the call return an error, or 0, in place of being carried out.
 func fail(tid int, regs *syscall.PtraceRegs, errno syscall.Errno) {
 	regs.Orig_rax = ^uint64(0)
 	regs.Rax = -uint64(errno)
--- a/internal/faultinject/control.go
+++ b/internal/faultinject/control.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // Control sets the rules of one tracer.
@@ -25,7 +26,7 @@
 // calls [RunRole], a tracer. program is what it runs; "" for the binary itself.
 // The rules are in force from the program's first moment, until others are set.
 func Environment(program string, seed uint64, rules ...Rule) ([]string, error) {
-	first, err := json.Marshal(Rules{rules})
+	first, err := json.Marshal(Rules{Rules: rules})
 	if err != nil {
 		return nil, fmt.Errorf("faultinject: %w", err)
 	}
@@ -63,9 +64,19 @@
 // Set puts rules in force in place of those before, and waits until they are. It returns
 // how often each fault has been applied so far, by call and fault.
 func (c *Control) Set(rules ...Rule) (applied map[string]int, err error) {
+	return c.send(Rules{Rules: rules})
+}
+
+// StepClock puts the wall clock that the program reads off the true one, and no rules in force.
+func (c *Control) StepClock(off time.Duration) error {
+	_, err := c.send(Rules{ClockStep: &off})
+	return err
+}
+
+func (c *Control) send(rules Rules) (applied map[string]int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	line, err := json.Marshal(Rules{rules})
+	line, err := json.Marshal(rules)
 	if err != nil {
 		return nil, fmt.Errorf("faultinject: %w", err)
 	}
--- a/internal/faultinject/faultinject.go
+++ b/internal/faultinject/faultinject.go
@@ -19,6 +19,7 @@
 	"os"
 	"strings"
 	"sync"
+	"time"
 )
 
 // RoleVariable names the environment variable that makes a program a tracer, or the
@@ -88,6 +89,8 @@
 // a call and is drawn decides.
 type Rules struct {
 	Rules []Rule `json:"rules"`
+	// ClockStep is by how much the wall clock that the program reads is off the true one; nil: as it was.
+	ClockStep *time.Duration `json:"clock_step,omitempty"`
 }
 
 // table holds the rules in force and how often each has been applied.
@@ -98,6 +101,7 @@
 	skipped []int
 	applied []int
 	counts  map[string]int // by call and fault, over all rules that were in force
+	step    time.Duration  // of the wall clock
 }
 
 func newTable(seed uint64) *table {
@@ -107,9 +111,19 @@
 func (t *table) set(r Rules) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if r.ClockStep != nil {
+		t.step = *r.ClockStep
+	}
 	t.rules, t.skipped, t.applied = r.Rules, make([]int, len(r.Rules)), make([]int, len(r.Rules))
 }
 
+// clockStep is by how much the wall clock is off.
+func (t *table) clockStep() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.step
+}
+
 // draw tells which rule makes this call fail, if any. path is the file's name, where it is on one.
 func (t *table) draw(call Call, path string) (rule Rule, any bool) {
 	t.mu.Lock()
--- a/internal/faultinject/faultinject_test.go
+++ b/internal/faultinject/faultinject_test.go
@@ -19,6 +19,9 @@
 
 func TestMain(m *testing.M) {
 	RunRole()
+	if os.Getenv(asClock) != "" {
+		tellClocks()
+	}
 	if os.Getenv(asEcho) != "" {
 		echo()
 		return
--- a/internal/faultinject/launch.go
+++ b/internal/faultinject/launch.go
@@ -33,16 +33,22 @@
 // filterOf is the filter that stops the thread for its tracer at these calls.
 func filterOf(calls []int) []unix.SockFilter {
 	const (
-		offsetCall = 0 // of seccomp_data.nr
-		loadWord   = unix.BPF_LD | unix.BPF_W | unix.BPF_ABS
-		jumpEqual  = unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K
-		giveBack   = unix.BPF_RET | unix.BPF_K
+		offsetCall  = 0  // of seccomp_data.nr
+		offsetFirst = 16 // of the low half of its first argument
+		behindList  = 3  // instructions between the list of calls and the last
+		loadWord    = unix.BPF_LD | unix.BPF_W | unix.BPF_ABS
+		jumpEqual   = unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K
+		giveBack    = unix.BPF_RET | unix.BPF_K
 	)
 	filter := []unix.SockFilter{{Code: loadWord, K: offsetCall}}
 	for i, nr := range calls {
-		filter = append(filter, unix.SockFilter{Code: jumpEqual, K: uint32(nr), Jt: uint8(len(calls) - i)})
+		filter = append(filter, unix.SockFilter{Code: jumpEqual, K: uint32(nr), Jt: uint8(len(calls) - i + behindList)})
 	}
 	return append(filter,
+		// Of the clocks, the wall clock alone.
+		unix.SockFilter{Code: jumpEqual, K: unix.SYS_CLOCK_GETTIME, Jf: 2},
+		unix.SockFilter{Code: loadWord, K: offsetFirst},
+		unix.SockFilter{Code: jumpEqual, K: unix.CLOCK_REALTIME, Jt: 1},
 		unix.SockFilter{Code: giveBack, K: unix.SECCOMP_RET_ALLOW},
 		unix.SockFilter{Code: giveBack, K: unix.SECCOMP_RET_TRACE})
 }
--- a/internal/faultinject/trace.go
+++ b/internal/faultinject/trace.go
@@ -152,6 +152,11 @@
 	case s == syscall.SIGTRAP && status.TrapCause() == unix.PTRACE_EVENT_SECCOMP:
 		t.call(tid)
 		return 0
+	case s == syscall.SIGTRAP && status.TrapCause() == unix.PTRACE_EVENT_EXEC:
+		if err := leadClock(tid); err != nil {
+			fmt.Fprintln(os.Stderr, "faultinject:", err)
+		}
+		return 0
 	case s == syscall.SIGTRAP && status.TrapCause() > 0:
 		return 0
 	case s == syscall.SIGSTOP && !known: // the first stop of a new thread
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -154,7 +154,7 @@
 	}
 }
 
-// signals stops, kills and reloads ingresses, several at a time.
+// signals stops, kills and reloads ingresses and steps their wall clocks, several at a time.
 func (r *run) signals(ctx context.Context, rng *rand.Rand) {
 	var under sync.WaitGroup
 	defer under.Wait()
@@ -165,6 +165,12 @@
 			continue
 		}
 		again := faultinject.Rule{Call: faultinject.Socket, Fault: "ENOBUFS", Share: 0.5, Most: rng.IntN(4)}
+		if what < 0.1 {
+			r.count(func(p *Report) { p.Steps++ })
+			in.stepClock(clockSteps[rng.IntN(len(clockSteps))])
+			in.change(false)
+			continue
+		}
 		if what < 0.3 {
 			r.count(func(p *Report) { p.Reloads++ })
 			if err := in.reload(series); err != nil {
@@ -189,6 +195,17 @@
 	}
 }
 
+// clockSteps are by how much an ingress's wall clock may be off.
+var clockSteps = []time.Duration{-time.Hour, -3 * time.Second, 0, 3 * time.Second, time.Hour}
+
+// stepClock steps the wall clock of an ingress.
+func (i *ingress) stepClock(off time.Duration) {
+	_, control := i.last()
+	if err := control.StepClock(off); err != nil {
+		i.run.violate(nil, "the clock of %s could not be stepped: %v", i.node.Name, err)
+	}
+}
+
 func (r *run) count(f func(*Report)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,7 +58,7 @@
 	Capped                                    int              // tries under the hard ceiling that were sent on
 	HeldUp                                    float64          // share of the time in which the machine held something up
 	Ends                                      [partial + 1]int // by answerKind
-	Stops, Kills, Reloads, Replaced           int
+	Stops, Kills, Reloads, Steps, Replaced    int
 	Faults                                    map[string]int // system calls that failed, by call and error
 	Violations                                []string
 }
@@ -70,8 +70,8 @@
 		calls += n
 	}
 	return fmt.Sprintf("%d requests (%d served, %d refused, %d failed, %d left, %d crossed an end, %d killed), %d attempts, %d calls failed in %d ways, "+
-		"%d tries under the ceiling, %d stops, %d kills, %d reloads, %d backends replaced, the machine held up %.0f%%: %d violations", r.Requests, r.Ends[served], r.Ends[refused], r.Ends[failed], r.Left, r.Crossed,
-		r.Killed, r.Attempts, calls, len(r.Faults), r.Capped, r.Stops, r.Kills, r.Reloads, r.Replaced, 100*r.HeldUp, len(r.Violations))
+		"%d tries under the ceiling, %d stops, %d kills, %d reloads, %d steps of the clock, %d backends replaced, the machine held up %.0f%%: %d violations", r.Requests, r.Ends[served], r.Ends[refused], r.Ends[failed], r.Left, r.Crossed,
+		r.Killed, r.Attempts, calls, len(r.Faults), r.Capped, r.Stops, r.Kills, r.Reloads, r.Steps, r.Replaced, 100*r.HeldUp, len(r.Violations))
 }
 
 // run is one run under way.
