Wait for a whole large value where other answers stand behind it

Callers lost requests that had run: a large value broke off at its backend while it was being passed on, and the connection was ended under the answers behind it.

Cause: a bulk string that can't be finished can be told by the end of its connection alone, and requests that were taken behind it went with it.

A value with other requests behind it is read whole first (in the memory for clients, up to its request's deadline); one that breaks off there is answered as failed, and the connection goes on. While a value is passed on as it comes, nothing further is read from its client. Where memory for it is short, it is passed on as before.

Tests: TestLargeValueThatBreaksOffTakesNoOtherAnswerAlong (fails before: the connection ends), TestLargeValueThatTricklesFailsAtItsDeadline.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -17,7 +17,8 @@
 	request *request // nil for what needs no backend
 	data    []byte   // the answer as it is written, or the value alone
 	next    *slot
-	body    body // in place of data: a value passed on as it comes, until that has ended
+	body    body   // in place of data: a value passed on as it comes, until that has ended
+	held    []byte // what has come of the body, where all of it is waited for
 	filled  bool
 	begun   bool // the head of the body has been written
 	value   bool // data is a value, to be written as a bulk string
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -26,6 +26,9 @@
 // that is done with, the connection open, and the next answer may follow.
 func (c *client) pour() bool {
 	f, s := c.front, c.first
+	if !s.begun && c.holds(s) {
+		return c.gather(s)
+	}
 	for range pourTurn {
 		if cap(f.out) < pourChunk+64 {
 			f.out = make([]byte, 0, pourChunk+64)
@@ -69,6 +72,78 @@
 	return false
 }
 
+// holds tells whether a value is to be waited for as a whole, in memory taken for it: one that breaks off
+// ends its connection, and others wait for their answers behind it there.
+func (c *client) holds(s *slot) bool {
+	if _, whole := s.body.(*heldValue); whole {
+		return false
+	}
+	if s.held != nil {
+		return true
+	}
+	if s.next == nil || !c.front.loop.memory.take(s.body.Size()) {
+		return false
+	}
+	s.held = make([]byte, 0, s.body.Size())
+	c.gatherBy = s.request.deadline
+	c.arm()
+	return true
+}
+
+// gather reads what is here of a value that is held. It tells whether there is an answer to go on with: the
+// whole value, or that it failed.
+func (c *client) gather(s *slot) bool {
+	for range pourTurn {
+		room := s.held[len(s.held):min(cap(s.held), len(s.held)+pourChunk)]
+		n, err := s.body.Read(room)
+		s.held = s.held[:len(s.held)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			c.gatherBy = 0
+			s.body = &heldValue{rest: s.held}
+			return true
+		case errors.Is(err, reactor.ErrWait):
+			return false
+		case err != nil:
+			c.giveUpBody(s)
+			return true
+		}
+	}
+	c.front.later(c)
+	return false
+}
+
+// giveUpBody answers in place of a value of which nothing has gone to the client that its request has failed.
+func (c *client) giveUpBody(s *slot) {
+	c.gatherBy = 0
+	s.abandon()
+	s.data = failedLine
+	c.front.loop.memory.force(len(s.data)) // until it is written
+	c.owe(len(s.data))
+	c.soil()
+}
+
+// heldValue is a body that is here as a whole.
+type heldValue struct{ rest []byte }
+
+// Size is the length of what is left.
+func (h *heldValue) Size() int { return len(h.rest) }
+
+// Read reads the next part.
+func (h *heldValue) Read(b []byte) (int, error) {
+	n := copy(b, h.rest)
+	if h.rest = h.rest[n:]; len(h.rest) == 0 {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Notify has nothing to tell of.
+func (*heldValue) Notify(func()) {}
+
+// Close gives it up.
+func (*heldValue) Close() {}
+
 // drop takes the first answer off the connection's order.
 func (c *client) drop() {
 	c.first = c.first.next
@@ -86,6 +161,7 @@
 
 // ended notes how the answer's body ended.
 func (s *slot) ended(whole bool) {
-	s.body = nil
+	s.client.front.loop.memory.give(cap(s.held))
+	s.body, s.held = nil, nil
 	s.client.front.loop.streamEnded(s.request, whole)
 }
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -115,6 +115,65 @@
 	}
 }
 
+// Guards against requests that are lost with a large value in front of them: it breaks off at its backend, which
+// ended the connection under the answers behind it.
+func TestLargeValueThatBreaksOffTakesNoOtherAnswerAlong(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, withAdmin, b.member("s-1"))
+	c := r.dial()
+	c.write(encode("Q.ASK", anyone, newID(), lookup) + encode("Q.DO", anyone, newID(), payment, "BODY"))
+	first, second := wait(t, "a command", b.Got), wait(t, "another", b.Got)
+	if first.Args[0] != "Q.ASK" {
+		first, second = second, first
+	}
+	second.Answer("paid")
+	value := largeValue(7)
+	go func() {
+		_, _ = fmt.Fprintf(first.Conn, "*3\r\n$%d\r\n%s", len(value), value[:len(value)/2])
+		first.Reset()
+	}()
+	c.want("-ERR failed")
+	c.want("$4\r\npaid")
+	if f := r.figures(); f["inflight"] != 0 || f["failure.lookup"] != 1 || f["success.payment"] != 1 {
+		t.Errorf("inflight=%d failure=%d success=%d, want 0, 1 and 1", f["inflight"], f["failure.lookup"], f["success.payment"])
+	}
+	r.eventually("nothing is held", func(l *loop) bool { return l.memory.used == 0 })
+
+	// What comes while a value is passed on waits for its end, and is taken behind it.
+	c.send("Q.ASK", anyone, newID(), lookup)
+	third := wait(t, "the next", b.Got)
+	go third.Answer(largeValue(8))
+	if _, err := c.in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	c.body(largeValue(8))
+	wait(t, "the last", b.Got).Answer("last")
+	c.want("$4\r\nlast")
+}
+
+// Guards against an answer that never comes because its value, waited for as a whole, does not become whole in the
+// request's time.
+func TestLargeValueThatTricklesFailsAtItsDeadline(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, nil, b.member("s-1"))
+	c := r.dial()
+	short := strings.Replace(lookup, "d=20000", "d=400", 1)
+	c.write(encode("Q.ASK", anyone, newID(), short) + encode("Q.DO", anyone, newID(), payment, "BODY"))
+	first, second := wait(t, "a command", b.Got), wait(t, "another", b.Got)
+	if first.Args[0] != "Q.ASK" {
+		first, second = second, first
+	}
+	second.Answer("paid")
+	value := largeValue(7)
+	if _, err := fmt.Fprintf(first.Conn, "*3\r\n$%d\r\n%s", len(value), value[:1000]); err != nil {
+		t.Fatal(err)
+	}
+	c.want("-ERR failed")
+	c.want("$4\r\npaid")
+	r.eventually("nothing is held", func(l *loop) bool { return l.memory.used == 0 && l.figures.open == 0 })
+}
+
 // A client that leaves in the middle takes its backend's connection along.
 func TestLeavingClientEndsItsLargeValue(t *testing.T) {
 	b := newBackend(t)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -51,12 +51,13 @@
 	unwritten   []byte // what its client did not take of the answers last written
 	unread      int    // bytes of answers that are due or unwritten
 
-	readAt  time.Duration // when what was last read had come
-	readBy  time.Duration // the first command, or the rest of one, must be here; 0: no bound
-	writeBy time.Duration // the client must have taken unwritten; 0: nothing is
-	resume  time.Duration // wrong commands: nothing is read before; 0: no pause
-	endBy   time.Duration // the connection has been ended and closes then; 0: it has not
-	endedAt time.Duration // when it has been
+	readAt   time.Duration // when what was last read had come
+	readBy   time.Duration // the first command, or the rest of one, must be here; 0: no bound
+	writeBy  time.Duration // the client must have taken unwritten; 0: nothing is
+	resume   time.Duration // wrong commands: nothing is read before; 0: no pause
+	gatherBy time.Duration // the value that is waited for as a whole must be here; 0: none is
+	endBy    time.Duration // the connection has been ended and closes then; 0: it has not
+	endedAt  time.Duration // when it has been
 
 	stall *list.Element // its place among those that do not read
 
@@ -92,9 +93,13 @@
 
 // takes tells whether a further command may be read.
 func (c *client) takes() bool {
-	return c.net != nil && !c.closing && !c.parting && c.resume == 0 && c.pending < mostPending && c.unread < mostUnread
+	return c.net != nil && !c.closing && !c.parting && c.resume == 0 && c.pending < mostPending && c.unread < mostUnread && !c.pouring()
 }
 
+// pouring tells whether a value is being passed on as it comes. If it breaks off the connection ends, and
+// what was read behind it would be lost.
+func (c *client) pouring() bool { return c.first != nil && c.first.begun }
+
 // pump reads and starts commands, for as long as there are any and it is this
 // connection's turn.
 func (c *client) pump() {
--- a/internal/ingress/closing.go
+++ b/internal/ingress/closing.go
@@ -72,7 +72,7 @@
 // arm sets the timer to the first of the connection's deadlines.
 func (c *client) arm() {
 	at := time.Duration(0)
-	for _, by := range [...]time.Duration{c.readBy, c.writeBy, c.resume, c.endBy} {
+	for _, by := range [...]time.Duration{c.readBy, c.writeBy, c.resume, c.endBy, c.gatherBy} {
 		if by > 0 && (at == 0 || by < at) {
 			at = by
 		}
@@ -107,6 +107,10 @@
 	case over(&c.writeBy):
 		c.close(closedSlowReader, nil)
 		return
+	case over(&c.gatherBy):
+		if s := c.first; s != nil && s.held != nil {
+			c.giveUpBody(s)
+		}
 	case over(&c.resume):
 		c.pump()
 	case over(&c.readBy):
