Hold a large value for requests behind it alone, and shrink on shortages alone

A value is held where a request waits behind it. The question whether a shortage is the process's own stands in front of the function that takes places away, whose meaning is the one that the test of crossings relies on.

Tests: TestEndOverUnreadBytesTakesNoAnswer and TestRequestAboutTheEndOfItsConnectionIsAnsweredOrLeft pass again, unchanged; all of package ingress passes.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -81,7 +81,7 @@
 	if s.held != nil {
 		return true
 	}
-	if s.next == nil || !c.front.loop.memory.take(s.body.Size()) {
+	if !s.owesBehind() || !c.front.loop.memory.take(s.body.Size()) {
 		return false
 	}
 	s.held = make([]byte, 0, s.body.Size())
@@ -90,6 +90,16 @@
 	return true
 }
 
+// owesBehind tells whether a request waits for its answer behind this one.
+func (s *slot) owesBehind() bool {
+	for next := s.next; next != nil; next = next.next {
+		if next.request != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // gather reads what is here of a value that is held. It tells whether there is an answer to go on with: the
 // whole value, or that it failed.
 func (c *client) gather(s *slot) bool {
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -87,7 +87,7 @@
 	}
 	if f.loop.starved {
 		f.loop.starved = false
-		f.shrink(f.loop.Now())
+		f.missedOne(f.loop.Now())
 	}
 	f.admitAndClose()
 	f.flush()
@@ -244,7 +244,7 @@
 			f.acceptable = false
 		case errors.Is(err, reactor.ErrFiles): // the next ones wait in the queue
 			f.loop.events.acceptFailed(err)
-			f.shrink(now)
+			f.missedOne(now)
 		default:
 			f.loop.events.acceptFailed(err)
 			f.retryAt = now + acceptRetry
@@ -283,13 +283,17 @@
 // heldNow is how many connections the process holds.
 func (f *front) heldNow() int { return len(f.clients) + len(f.unwatched) + f.loop.pool.Open() }
 
-// shrink takes note that descriptors have run out: the admission controller keeps to what there
-// is, and closes one at rest in place of what was wanted.
-func (f *front) shrink(now time.Duration) {
+// missedOne notes that no descriptor, or no memory for one, was to be had.
+func (f *front) missedOne(now time.Duration) {
 	f.retryAt = now + acceptRetry
-	if !f.short.own(now, f.heldNow()) {
-		return
+	if f.short.own(now, f.heldNow()) {
+		f.shrink(now)
 	}
+}
+
+// shrink takes note that the process's descriptors have run out: the admission controller keeps to what there
+// is, and closes one at rest in place of what was wanted.
+func (f *front) shrink(now time.Duration) {
 	f.admission.Shrink()
 	f.growAt = now + growAfter
 	f.admission.Due(now, true, func(p *admission.Place[*client]) bool { return p.Owner.dismiss() })
@@ -309,7 +313,7 @@
 	if err := c.net.Watch(c); err != nil {
 		f.loop.events.watchFailed(c, err)
 		f.unwatched = append(f.unwatched, c)
-		f.shrink(now)
+		f.missedOne(now)
 		return
 	}
 	c.index, c.readBy, c.timed = len(f.clients), now+firstPatience, true
