--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"wickarch/internal/faultinject"
@@ -86,6 +87,7 @@
 	start(2, r.cutLinks)
 	start(3, r.moods)
 	start(4, r.replace)
+	start(5, r.holds)
 	all.Wait()
 }
 
@@ -235,6 +237,24 @@
 	}
 }
 
+// Bounds on how long an ingress is held up, in milliseconds. The rules allow for 0.15 s; what the machine does
+// to the others comes on top.
+const holdLeast, holdMost = 10, 100
+
+// holds stops an ingress for a moment, as a busy machine does.
+func (r *run) holds(ctx context.Context, rng *rand.Rand) {
+	for rest(ctx, rng, 50, 400) {
+		in := r.ingresses[rng.IntN(len(r.ingresses))]
+		lasts := time.Duration(holdLeast+rng.IntN(holdMost-holdLeast)) * time.Millisecond
+		process, _ := in.last()
+		if process.Cmd.Process.Signal(syscall.SIGSTOP) != nil {
+			continue // it has ended
+		}
+		time.Sleep(lasts)
+		_ = process.Cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
+
 // moods has backends hang, reset, refuse and spoil for a while.
 func (r *run) moods(ctx context.Context, rng *rand.Rand) {
 	for rest(ctx, rng, 100, 500) {
