--- a/internal/faultinject/control.go
+++ b/internal/faultinject/control.go
@@ -4,10 +4,13 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -34,6 +37,18 @@
 		rulesVariable + "=" + string(first)}, nil
 }
 
+// Command is one that runs this binary again under a tracer, with more variables in its environment and
+// rules in force from its first moment.
+func Command(ctx context.Context, seed uint64, env []string, rules ...Rule) (*exec.Cmd, error) {
+	traced, err := Environment("", seed, rules...)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.CommandContext(ctx, os.Args[0])
+	cmd.Env = slices.Concat(os.Environ(), traced, env)
+	return cmd, nil
+}
+
 // NewControl connects to the tracer that cmd will run. It is called before the start.
 func NewControl(cmd *exec.Cmd) (*Control, error) {
 	in, err := cmd.StdinPipe()
