Soak: clients that write in pieces end their command within half a second

The trace: the client had dialled before 1.05 s and wrote the last of some 40 KB at 2.447 s, in pieces of up to 60 bytes; the ingress ends a connection whose first command is not whole after 2.2 s, as clients that stop in a command are owed within 3 s, and the error that it sent crossed the client's writing. Long commands go in larger pieces now; the check stays as it is.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,10 +20,14 @@
 const (
 	answerGrace = 500 * time.Millisecond // behind a request's time, until which its answer may come
 	waitsOn     = time.Second            // how long a client waits beyond a request's time
-	mostBody    = 40_000                 // bytes
-	mostBehind  = 4                      // requests written behind each other
-	rudeSpare   = 300 * time.Millisecond // of that, what the ingress leaves unused
-	rudePeriod  = 3 * time.Second        // in which a client that stops in a command is owed an error or a close
+	mostPiece   = 60                     // bytes of a short command written at a time
+	// fewestPieces of a long one, each followed by up to 3 ms: no client takes seconds to write a command, which the
+	// ingress would take for one that has stopped in it.
+	fewestPieces = 100
+	mostBody     = 40_000                 // bytes
+	mostBehind   = 4                      // requests written behind each other
+	rudeSpare    = 300 * time.Millisecond // of that, what the ingress leaves unused
+	rudePeriod   = 3 * time.Second        // in which a client that stops in a command is owed an error or a close
 )
 
 // clients send until ctx ends, each on one connection at a time.
@@ -143,11 +147,11 @@
 		s.run.record.add(q)
 		text = append(text, standin.Encode(q.words(len(s.run.ingresses))...)...)
 	}
-	pieces := rand.Float64() < 0.15
+	pieces, whole := rand.Float64() < 0.15, len(text)
 	for len(text) > 0 {
 		n := len(text)
 		if pieces {
-			n = min(n, 1+rand.IntN(60))
+			n = min(n, 1+rand.IntN(max(mostPiece, whole/fewestPieces)))
 		}
 		if n == len(text) {
 			for _, q := range batch {
