Review case 1: a payment runs twice when half a line meets an answer in pieces

Cause: a first line that begins with BUSY counts as a refusal whatever stands behind it, and what follows is looked for only once; the rest of the true answer comes a moment later. Nothing of the program is changed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
 for program in bin/wickarch bin/coordinator bin/agent bin/wickarch-fleet review/bin/standins; do
 	[ -x "$program" ] || { echo "$program is missing: build first" >&2; exit 2; }
 done
-exec review/bin/standins ping-flood "$here"
+exec review/bin/standins half-refusal "$here"
