Review: a payment runs twice when half a line meets an answer in pieces

Cause: a printable line that begins with BUSY counts as a refusal whatever follows, and what comes behind it is looked for once, at that moment.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*env) error{
 	"flood":          flood,
+	"half-refusal":   halfRefusal,
 	"half-requests":  halfRequests,
 	"long-answers":   longAnswers,
 	"second-value":   secondValue,
