Take a line that may hold two replies as no proof: a payment ran twice

Cause: a refusal was judged by its first word. The half line and the answer's first line form one line that begins with BUSY; what came behind it was looked for once, before the second piece. Lines of errors, of "+" and ":" and among an answer's reports were judged the same way.

Change: a line that holds a RESP type byte behind its first byte may be half of one line and the first line of the next reply. It is no refusal, its figures are not used, its attempt ends as one that may have run and its connection ends. After BUSY only reports may follow. Such ends are counted as "merged" and logged with the line. As every reply begins with a type byte, no continuation makes half a line a refusal, whenever its pieces come.

--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -35,6 +35,29 @@
 	wantNone(t, "a second attempt", two.Got)
 }
 
+// Guards against a payment that runs twice: half a refusal stands in front of an answer that comes in two pieces,
+// and the first piece makes the half line whole.
+func TestPaymentBehindHalfARefusalIsNotRetried(t *testing.T) {
+	one, two := newBackend(t), newBackend(t)
+	r := newRig(t, nil, one.member("1"), two.member("2"))
+	for _, first := range []string{"-BUSY used=3 *3\r\n", "-BUSY used=3*3\r\n", "-BUSY *3\r\n", "-BUSY -ERR failed\r\n"} {
+		c := r.dial()
+		c.send("Q.DO", someCustomer, newID(), payment, "BODY")
+		var got received
+		select {
+		case got = <-one.Got:
+		case got = <-two.Got:
+		}
+		_, _ = got.Conn.Write([]byte(first))
+		c.want("-ERR failed")                                      // only now the second piece comes
+		_, _ = got.Conn.Write([]byte("$1\r\nv\r\n$-1\r\n$-1\r\n")) // the connection may have ended
+		c.send("PING")
+		c.want("+PONG") // nothing else was answered
+	}
+	wantNone(t, "a second attempt", one.Got)
+	wantNone(t, "a second attempt", two.Got)
+}
+
 // A payment refused by one backend has not run, and goes to the other.
 func TestRefusedPaymentIsRetried(t *testing.T) {
 	one, two := newBackend(t), newBackend(t)
--- a/internal/upstream/cause.go
+++ b/internal/upstream/cause.go
@@ -18,6 +18,7 @@
 	CauseAnsweredEarly              // data or an end arrived before the request was written completely
 	CauseReadFailed                 // the connection failed or ended before the reply was complete
 	CauseMalformed                  // the reply can't be parsed
+	CauseMerged                     // the reply's line may be the beginning of one line, continued by another reply
 	CauseUnexpected                 // the reply belongs to something else
 	CauseCopy                       // the reply repeats an earlier one
 	CauseStalled                    // the reply began but was not completed in time
@@ -29,7 +30,7 @@
 )
 
 var causeNames = [NumCauses]string{"none", "backend-gone", "no-place", "no-descriptor", "dial-failed", "refused", "connect-late",
-	"expired", "write-failed", "answered-early", "read-failed", "malformed", "unexpected", "copy",
+	"expired", "write-failed", "answered-early", "read-failed", "malformed", "merged", "unexpected", "copy",
 	"stalled", "deadline", "cancelled", "withdrawn", "forbidden"}
 
 // String returns the name used in logs and in the event counts.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -256,6 +257,11 @@
 			c.pool.countUnsolicited()
 			c.fail(choice.Error, CauseMalformed, err)
 			return
+		case consumed > 0 && reply.merged:
+			// What follows may be the rest of another reply, now or later: the connection is lost.
+			c.pool.countUnsolicited()
+			c.fail(choice.Error, CauseMerged, fmt.Errorf("line %q", received[:consumed]))
+			return
 		case consumed > 0 && reply.streamSize > 0:
 			if c.attempt.Probe {
 				c.pool.countUnsolicited()
@@ -281,9 +287,8 @@
 	}
 }
 
-// finishRefused ends the attempt with a refusal if nothing but a copy of it follows. Half a line that the
-// backend sent between requests merges with the first line of the reply to this one; the rest of that reply
-// then follows, and the attempt may have run.
+// finishRefused ends the attempt with a refusal if nothing but a copy of it follows. A refusal that the backend
+// sent between requests is not the reply to this one; that reply then follows, and the attempt may have run.
 func (c *conn) finishRefused(r Reply, line, extra []byte) {
 	if !isCopyOf(extra, line) {
 		c.pool.countUnsolicited()
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -28,9 +28,17 @@
 	Cause   Cause   // why the attempt ended without an acceptable reply
 	Err     error   // the system's or parser's error then, if any
 
-	streamSize int // size of a value to be streamed, of which only the head was parsed; otherwise 0
+	streamSize int  // size of a value to be streamed, of which only the head was parsed; otherwise 0
+	merged     bool // the line may be the beginning of one line, continued by the first line of another reply
 }
 
+// typeBytes are the bytes with which replies begin.
+const typeBytes = "*$+-:"
+
+// mayBeMerged reports whether a line's text, without its own type byte, may be the beginning of one line
+// continued by another reply: a backend that stops within a line sends the next reply behind it.
+func mayBeMerged(text []byte) bool { return bytes.ContainsAny(text, typeBytes) }
+
 // parseReply parses the first reply in buf, of n bytes; n is 0 while it is
 // incomplete. An error means that no further bytes can make it valid: waiting for
 // more would hold the request until its deadline. The value is a copy.
@@ -54,9 +62,11 @@
 		if n == 0 || err != nil {
 			return r, 0, err
 		}
+		if r.merged = mayBeMerged(text); r.merged {
+			return r, n, nil
+		}
 		words := bytes.Fields(text)
-		// A corrupted line does not prove a refusal, whatever it begins with.
-		if len(words) > 0 && string(words[0]) == "BUSY" && resp.Printable(text) {
+		if isRefusal(text, words) {
 			r.Status = choice.Refused
 		}
 		for _, word := range words {
@@ -64,12 +74,50 @@
 		}
 		return r, n, nil
 	case '+', ':':
-		_, n, err := resp.Line(buf)
+		text, n, err := resp.Line(buf)
+		r.merged = n > 0 && mayBeMerged(text)
 		return r, n, err
 	}
 	return r, 0, resp.ErrMalformed
 }
 
+// isRefusal reports whether an error line states that the request never ran: the word BUSY, and after it at most
+// reports. A corrupted line proves nothing, whatever it begins with.
+func isRefusal(text []byte, words [][]byte) bool {
+	if len(words) == 0 || string(words[0]) != "BUSY" || !resp.Printable(text) {
+		return false
+	}
+	for _, word := range words[1:] {
+		if !hasReportForm(word) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasReportForm reports whether a word consists of names and values, as in used=37,cost=4.
+func hasReportForm(word []byte) bool {
+	for pair := range bytes.SplitSeq(word, []byte(",")) {
+		name, value, found := bytes.Cut(pair, []byte("="))
+		if !found || !isReportToken(name) || !isReportToken(value) {
+			return false
+		}
+	}
+	return true
+}
+
+// isReportToken reports whether a text may be a name or a value of a report.
+func isReportToken(text []byte) bool {
+	for _, ch := range text {
+		isLetter := ch >= 'a' && ch <= 'z' || ch >= 'A' && ch <= 'Z'
+		isDigit := ch >= '0' && ch <= '9'
+		if !isLetter && !isDigit && ch != '_' && ch != '.' {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // parseServed parses a reply with a value: the value, the usage report and the load
 // report. The reports may be null, and are left out if they can't be parsed; the
 // value is valid without them.
@@ -110,7 +158,10 @@
 		var report []byte
 		var consumed int
 		if n < len(buf) && bytes.IndexByte([]byte("+-:"), buf[n]) >= 0 {
-			_, consumed, err = resp.Line(buf[n:])
+			var text []byte
+			if text, consumed, err = resp.Line(buf[n:]); consumed > 0 && mayBeMerged(text) {
+				return 0, resp.ErrMalformed
+			}
 		} else {
 			report, consumed, err = resp.BulkOrNull(buf[n:], maxReportLength)
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -621,6 +621,12 @@
 		{"-BUSY\r\n", Reply{Status: choice.Refused}},
 		{"-BUSY used=5,cost=4\r\n", Reply{Status: choice.Refused, Metered: true, Used: 0.05}},
 		{"-BUSY used=x\r\n", Reply{Status: choice.Refused}},
+		{"-BUSY used=5 inflight=7,latency_ms=12.5\r\n", Reply{Status: choice.Refused, Metered: true, Used: 0.05, Load: load}},
+		// nor does a line with anything but reports after its first word
+		{"-BUSY used=5 x3\r\n", Reply{Status: choice.Error, Metered: true, Used: 0.05}},
+		{"-BUSY used=5,\r\n", Reply{Status: choice.Error}},
+		{"-BUSY used=5*3\r\n", Reply{Status: choice.Error, merged: true}},
+		{"-BUSY used=5 *3\r\n", Reply{Status: choice.Error, merged: true}},
 		{"-\r\n", Reply{Status: choice.Error}},
 		{"+OK\r\n", Reply{Status: choice.Error}},
 		{":1\r\n", Reply{Status: choice.Error}},
@@ -801,6 +807,59 @@
 	}
 }
 
+// Guards against a payment that runs twice: a line that a backend begins and breaks off is continued by the
+// first line of the next reply, and both together were taken for a refusal when the rest of that reply came later.
+func TestHalfLineContinuedByAReplyIsNotARefusal(t *testing.T) {
+	halves := []string{"-", "-BUSY", "-BUSY ", "-BUSY\r", "-BUSY used=3", "-BUSY used=3 ", "-BUSY used=3,", "-BUSY used=",
+		"-BUSY inflight=7,latency_ms=12 ", "-BUSY used=3 inflight=7,latency_ms=12", "-ERR fail", "-ERR failed used=3 ", "+", "+OK ", ":", "$", "*",
+		"*3\r\n$5\r\nwrong\r\n+used=3", "*3\r\n$5\r\nwrong\r\n$-1\r\n+"}
+	replies := []string{string(valueReply("right")), "-ERR failed\r\n", "-ERR failed used=3\r\n", "$-1\r\n", ":1\r\n", "+OK\r\n"}
+	for _, half := range halves {
+		for _, reply := range replies {
+			for cut := 1; cut <= len(reply); cut++ {
+				for _, pause := range []time.Duration{5 * ms, reuseCooldown + 5*ms} {
+					b := newTestbed(t)
+					b.backend.onData = func(c *backendConn) {
+						if c.closed || len(c.got) == 0 {
+							return
+						}
+						c.got = nil
+						_, _ = c.Write([]byte(half + reply[:cut]))
+						b.net.After(pause, func() { _, _ = c.Write([]byte(reply[cut:])) })
+					}
+					b.begin("payment")
+					b.run(4 * ms) // less than the pause: what came first is judged alone
+					b.run(requestTimeout)
+					if len(b.outcomes) != 1 {
+						t.Fatalf("%q and %q cut at %d: %d outcomes, want 1", half, reply, cut, len(b.outcomes))
+					}
+					if r := b.outcomes[0].reply; r.Status != choice.Error && r.Status != choice.Timeout || r.Metered {
+						t.Errorf("%q and %q cut at %d: the request ran, and ends as %v, metered %v", half, reply, cut, r.Status, r.Metered)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A line that may hold the beginning of another reply ends its connection: the rest of that reply would be the
+// next request's.
+func TestConnectionEndsAfterAMergedLine(t *testing.T) {
+	for _, line := range []string{"-BUSY used=3 *3\r\n", "-ERR fail*3\r\n", "+OK*3\r\n", ":1*3\r\n"} {
+		b := newTestbed(t)
+		b.begin("payment")
+		b.run(5 * ms)
+		b.reply(b.backend.conns[0], []byte(line))
+		b.run(5 * ms)
+		if o := b.outcomes; len(o) != 1 || o[0].reply.Status != choice.Error || o[0].reply.Cause != CauseMerged {
+			t.Errorf("%q: the request ends as %+v, want one error with cause %q", line, o, CauseMerged)
+		}
+		if b.Open() != 0 {
+			t.Errorf("%q: the connection is kept", line)
+		}
+	}
+}
+
 // At its deadline, a connection is closed only after a check for data that has arrived
 // since the last poll: the close would drop a reply that arrived in time.
 func TestReplyThatArrivedInTimeIsReadBeforeTheClose(t *testing.T) {
