Give each connection one turn a round: one client held the whole loop

Cause: a turn was bounded, the number of turns was not. writeReplies read the connection anew, the replies to these commands made it due for writing again, and flush went round until none was.

Change: a connection that has had its turn in a round is queued for the next one. The queue has 2 ms a round, in order of waiting, and a queued connection gets no turn by its events. A drain still reads what has arrived first. The listener's queue is emptied in batches at the stop, where a crowd could hold the loop the same way. /status/events tells the longest round.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -148,9 +148,9 @@
 		}
 	}
 	// Commands that have already arrived are read before the connection ends, so that they are not lost.
-	if c.first == nil && !c.closing && (c.hasBacklog || c.readable || f.draining && c.hasInput()) {
-		c.processInput()
-		if c.first != nil || c.net == nil {
+	if c.hasMoreCommands() {
+		c.takeTurn()
+		if c.readQueued || c.first != nil || c.net == nil {
 			return
 		}
 	}
@@ -161,10 +161,6 @@
 		c.lingeringClose()
 		return
 	}
-	if c.readable || len(c.partial) > 0 {
-		c.processInput() // commands held back while too many replies were due
-		return
-	}
 	c.reportActivity()
 }
 
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -42,6 +42,7 @@
 	number          uint64       // in the order of acceptance, for logs
 	index           int          // in front.clients
 	invalidCommands int32        // so far
+	turnRound       uint32       // front.round in which the connection last had its turn to read
 	admissionConn   admission.Conn[*client]
 	timer           reactor.Timer
 
@@ -101,8 +102,25 @@
 // commands read behind it would be lost.
 func (c *client) streaming() bool { return c.first != nil && c.first.headWritten }
 
+// takeTurn processes input if the connection has not had its turn in this round, and otherwise queues it for the
+// next one. The replies to the commands of one turn must not lead to another turn in the same round: a client that
+// sends as fast as it is answered would keep the loop from all others.
+func (c *client) takeTurn() {
+	if c.turnRound == c.front.round {
+		c.front.queueRead(c)
+		return
+	}
+	c.processInput()
+}
+
+// hasMoreCommands reports whether the connection may take further commands now and there may be some.
+func (c *client) hasMoreCommands() bool {
+	return c.acceptsCommands() && (c.hasBacklog || !c.inputClosed && (c.readable || c.front.draining && c.hasInput()))
+}
+
 // processInput reads and starts commands, for as long as there are any and it is this connection's turn.
 func (c *client) processInput() {
+	c.turnRound = c.front.round
 	for turn := 0; c.net != nil; turn++ {
 		if c.lingerUntil > 0 {
 			return
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -17,7 +17,8 @@
 	acceptBatch      = 64          // connections accepted before the others have their turn
 	closeBatch       = 64          // connections closed that their clients have ended, likewise
 	batchInterval    = time.Millisecond
-	readBatch        = 4 // reads from one connection before the others have theirs
+	readBatch        = 4                    // reads from one connection before the others have theirs
+	readQueueTime    = 2 * time.Millisecond // in one round, for the connections that have more to read than their turn allows
 	sharedBufferSize = 64 << 10
 )
 
@@ -32,7 +33,7 @@
 	readBuffer   []byte    // for reads, shared by all connections
 	writeBuffer  []byte    // for writes, shared by all connections
 	closeQueue   []*client // idle, and ended by their clients; closed in batches
-	readQueue    []*client // have more to read than their turn allows
+	readQueue    []*client // have more to read than their turn allows, the longest waiting first
 	dirty        []*client // may have replies to write
 	unwatched    []*client // accepted, but the poller could not register them yet
 	stalled      list.List // of *client: wait for their clients to read on, the longest first
@@ -45,6 +46,7 @@
 	fdShortage      shortage
 	closeBatchAt    time.Duration // no batch of closeQueue is closed before then
 	emptyingBacklog bool          // the listener closes once its backlog is empty
+	round           uint32        // counts the rounds from 1
 	draining        bool
 	finished        bool          // accepts no request but those that have arrived
 	onHold          bool          // another process of this ingress still accepts clients
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{cfg: cfg, loop: l, admission: controller, readBuffer: make([]byte, sharedBufferSize), empty: make(chan struct{}),
+	f := &front{cfg: cfg, loop: l, admission: controller, readBuffer: make([]byte, sharedBufferSize), empty: make(chan struct{}), round: 1,
 		fdShortage: shortage{halfLimit: cfg.Limits.Sockets / 2}}
 	address := cfg.Listen
 	if cfg.InheritedListener != "" {
@@ -76,15 +78,7 @@
 
 // Round does the work that has accumulated in one round.
 func (f *front) Round() {
-	queue := f.readQueue
-	f.readQueue = nil
-	for _, c := range queue {
-		c.readQueued = false
-		c.processInput()
-		if c.first != nil && c.first.stream != nil {
-			c.markDirty() // continues the stream that exceeded its turn
-		}
-	}
+	f.processReadQueue()
 	if f.loop.outOfDescriptors {
 		f.loop.outOfDescriptors = false
 		f.noteShortage(f.loop.Now())
@@ -95,6 +89,26 @@
 		close(f.empty)
 		f.empty = nil
 	}
+	f.round++ // the events that follow belong to the next round
+}
+
+// processReadQueue gives the connections of readQueue their turn, for readQueueTime. The rest wait for the next
+// round.
+func (f *front) processReadQueue() {
+	queue := f.readQueue
+	f.readQueue = nil
+	end := f.loop.Now() + readQueueTime
+	for i, c := range queue {
+		if i > 0 && f.loop.Now() >= end {
+			f.readQueue = append(queue[i:], f.readQueue...)
+			return
+		}
+		c.readQueued = false
+		c.processInput()
+		if c.net != nil {
+			c.markDirty() // continues a stream that exceeded its turn, or ends the connection if nothing is left to read
+		}
+	}
 }
 
 // Next returns when there is work to do even if no event arrives.
@@ -148,14 +162,17 @@
 	}
 	if e&reactor.Readable != 0 {
 		c.readable = true
-		c.processInput()
+		if !c.readQueued { // otherwise it waits for its turn
+			c.processInput()
+		}
 	}
 }
 
-// queueRead gives a connection a turn in the next round.
+// queueRead gives a connection a turn in a later round.
 func (f *front) queueRead(c *client) {
 	if !c.readQueued {
 		c.readQueued = true
+		c.readDelayed = c.readDelayed || c.readable
 		f.readQueue = append(f.readQueue, c)
 	}
 }
@@ -372,10 +389,14 @@
 	f.acceptBacklog(f.loop.Now())
 }
 
-// acceptBacklog accepts all waiting connections, and closes the listener once there are none. It is retried while
-// accept fails.
+// acceptBacklog accepts a batch of the waiting connections, and closes the listener once there are none. Otherwise, or
+// if accept fails, it is called again in a later round.
 func (f *front) acceptBacklog(now time.Duration) {
-	for f.acceptRetryAt == 0 && f.ln != nil {
+	for n := 0; f.acceptRetryAt == 0 && f.ln != nil; n++ {
+		if n == acceptBatch {
+			f.acceptRetryAt = now + batchInterval
+			return
+		}
 		nc, err := f.ln.Accept()
 		switch {
 		case err == nil:
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -95,4 +95,7 @@
 
 // AppendEvents appends counts of closed connections, ended attempts and failed system calls,
 // by reason.
-func (i *Ingress) AppendEvents(b []byte) []byte { return i.loop.events.append(b) }
+func (i *Ingress) AppendEvents(b []byte) []byte {
+	b = i.loop.events.append(b)
+	return fmt.Appendf(b, "longest-round-ms=%d\n", i.loop.LongestRound().Milliseconds())
+}
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -148,8 +148,9 @@
 	tasks []Task
 	stop  bool
 
-	waitStarts [2]time.Duration // when the last two Waits began, the earlier first
-	staleUntil time.Duration    // until then InputMayBeStale holds
+	waitStarts   [2]time.Duration // when the last two Waits began, the earlier first
+	staleUntil   time.Duration    // until then InputMayBeStale holds
+	longestRound time.Duration
 
 	mu      sync.Mutex
 	posted  []func()
@@ -246,13 +247,20 @@
 		f()
 		l.running[i] = nil
 	}
-	l.wheel.Advance(l.Now(), fireTimer)
+	started := l.Now()
+	l.wheel.Advance(started, fireTimer)
 	for _, t := range l.tasks {
 		t.Round()
 	}
-	l.waitStarts[0], l.waitStarts[1] = l.waitStarts[1], l.Now()
+	ended := l.Now()
+	l.longestRound = max(l.longestRound, ended-started)
+	l.waitStarts[0], l.waitStarts[1] = l.waitStarts[1], ended
 }
 
+// LongestRound returns the longest time that the timers and tasks of one round have
+// taken so far: nothing else was served meanwhile.
+func (l *Loop) LongestRound() time.Duration { return l.longestRound }
+
 func fireTimer(t *Timer) { t.Owner.TimerFired() }
 
 // Next returns when a timer or a task is due even if no event occurs.
