Judge whether a client reads by time, not by one write that fills its socket

Cause: a write that the socket does not take whole says that more is due than the socket holds. It was taken to mean that the client does not read: with over 1 MiB due at that moment the connection was closed at once. Over the limit of all clients together the one was closed whose socket had been full for longest, also if it took something each millisecond.

Change: package ingress, stalled.go. A client that takes nothing for 5 s does not read; for 1 s while the stalled ones hold over half of the memory for clients, for 0.1 s beyond three quarters, those that have taken nothing for longest first. The limit of 1 MiB a connection is gone; one holds 128 answers at most, 8.4 MB, as before it stalls. A closed connection's log line tells whether it had stalled and when its client last took something.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -123,9 +123,7 @@
 		if !c.write(c.unwritten) {
 			return
 		}
-		c.writeDeadline = 0
-		f.stalledBytes -= c.replyBytes
-		f.unstall(c)
+		f.stalled.remove(c)
 		c.resetTimer()
 	}
 	for c.first != nil && c.first.filled {
@@ -172,24 +170,20 @@
 	c.replyBytes -= n
 	f.loop.memory.release(n)
 	if c.stallEntry != nil {
-		f.stalledBytes -= n
+		f.stalled.bytes -= int64(n)
 	}
 	switch {
 	case err == nil:
 	case errors.Is(err, reactor.ErrWouldBlock) && c.stallEntry != nil:
 		c.unwritten = b[n:]
-		if n > 0 { // the client reads, if slowly
-			c.writeDeadline = f.loop.Now() + writeTimeout
-			c.resetTimer()
+		if n > 0 {
+			f.stalled.noteProgress(c, f.loop.Now())
 		}
 		return false
 	case errors.Is(err, reactor.ErrWouldBlock):
 		c.unwritten = append([]byte(nil), b[n:]...)
-		c.writeDeadline = f.loop.Now() + writeTimeout
-		c.stallEntry = f.stalled.PushBack(c)
-		f.stalledBytes += c.replyBytes
-		c.resetTimer()
-		c.enforceReplyLimits()
+		f.stalled.add(c, f.loop.Now())
+		f.stalled.enforceLimits(f.loop.Now())
 		return false
 	default:
 		c.close(closedWriteFailed, err)
@@ -203,20 +197,7 @@
 func (c *client) addReplyBytes(n int) {
 	c.replyBytes += n
 	if c.stallEntry != nil {
-		c.front.stalledBytes += n
-		c.enforceReplyLimits()
-	}
-}
-
-// enforceReplyLimits closes connections whose clients do not read and that hold too many reply bytes: this one
-// if it exceeds its own limit, and those stalled for longest while all stalled ones together exceed theirs.
-// Their replies have failed and are not kept forever.
-func (c *client) enforceReplyLimits() {
-	f := c.front
-	if c.replyBytes > maxStalledReplyBytes {
-		c.close(closedUnreadAnswers, nil)
-	}
-	for int64(f.stalledBytes) > f.loop.memory.limit/stalledMemoryDivisor && f.stalled.Len() > 0 {
-		f.stalled.Front().Value.(*client).close(closedUnreadAnswers, nil)
+		c.front.stalled.bytes += int64(n)
+		c.front.stalled.enforceLimits(c.front.loop.Now())
 	}
 }
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -50,7 +50,7 @@
 			t.Fatal(err)
 		}
 	}
-	r.eventually("all clients to stall", func(l *loop) bool { return r.server.front.stalled.Len() == many })
+	r.eventually("all clients to stall", func(l *loop) bool { return r.server.front.stalled.byProgress.Len() == many })
 	r.onLoop(func(l *loop) {
 		if maxHeld := int64(many * (streamChunk + 64)); l.memory.used > maxHeld {
 			t.Errorf("%d bytes are held for %d values, want at most %d", l.memory.used, many, maxHeld)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	writeTimeout          = 5 * time.Second         // for a client that has stopped reading to read again
 	lingerTimeout         = 200 * time.Millisecond  // for a client to close its side after the ingress has ended the connection
 	maxPending            = 128                     // commands awaiting their replies on one connection
 	firstCommandTimeout   = 2200 * time.Millisecond // for the first command on a connection
@@ -23,8 +22,6 @@
 	invalidCommandDelay   = 50 * time.Millisecond   // after the second one, and each further one
 	minPartialBuffer      = 512                     // bytes of buffer for a command that has begun
 	maxReplyBytes         = 256 << 10               // bytes of unwritten replies beyond which nothing more is read
-	maxStalledReplyBytes  = 1 << 20                 // bytes of unwritten replies beyond which a client that does not read is disconnected
-	stalledMemoryDivisor  = 2                       // replies of stalled clients may take the memory for clients divided by this
 )
 
 var (
@@ -54,13 +51,14 @@
 
 	readAt         time.Duration // when the bytes last read had arrived
 	readDeadline   time.Duration // for the first command, or for the rest of one; 0: none
-	writeDeadline  time.Duration // for the client to accept unwritten; 0: nothing is unwritten
+	writeDeadline  time.Duration // when a stalled connection is checked next; 0: it is not stalled
+	progressAt     time.Duration // when a stalled connection's client last took some of its replies, or the stall began
 	resumeAt       time.Duration // after invalid commands nothing is read before then; 0: no pause
 	bufferDeadline time.Duration // for the value that is buffered whole; 0: none is
 	lingerUntil    time.Duration // the connection has been ended and is closed then; 0: it has not been ended
 	endedAt        time.Duration // when the connection was ended
 
-	stallEntry *list.Element // in front.stalled; nil while the client reads
+	stallEntry *list.Element // in front.stalled; nil while the socket accepts all replies
 
 	hasRequested bool        // has sent a request that was accepted
 	readTimed    bool        // readDeadline has been set for this command or the one before
--- a/internal/ingress/closing.go
+++ b/internal/ingress/closing.go
@@ -104,8 +104,7 @@
 		c.close(closedLingerExpired, nil)
 		return
 	case expired(&c.writeDeadline):
-		c.close(closedSlowReader, nil)
-		return
+		c.checkStalled(now)
 	case expired(&c.bufferDeadline):
 		if s := c.first; s != nil && s.buffered != nil {
 			c.failStream(s)
@@ -164,10 +163,7 @@
 // dropReplies drops all replies that are due and returns the requests that are open.
 func (c *client) dropReplies() (open []*request) {
 	f := c.front
-	if c.stallEntry != nil {
-		f.unstall(c)
-		f.stalledBytes -= c.replyBytes
-	}
+	f.stalled.remove(c)
 	f.loop.memory.release(c.replyBytes)
 	c.replyBytes, c.unwritten = 0, nil
 	c.keepPartial(nil)
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -109,7 +109,7 @@
 	e.connectionCloses[why]++
 	if e.details != nil {
 		e.details.Info("connection closed", "connection", c.number, "reason", why, "error", err, "pending", c.pending,
-			"half", len(c.partial), "unread", c.replyBytes)
+			"half", len(c.partial), "unread", c.replyBytes, "stalled", c.stallEntry != nil, "progress_at", c.progressAt)
 	}
 }
 
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"container/list"
 	"errors"
 	"fmt"
 	"slices"
@@ -25,20 +24,19 @@
 // front holds the listener and the clients' connections. Idle connections have no goroutine, no buffer and no
 // timer.
 type front struct {
-	cfg          *Config
-	loop         *loop
-	ln           reactor.Listener // nil once no further connection is accepted
-	admission    *admission.Controller[*client]
-	clients      []*client // in no order
-	readBuffer   []byte    // for reads, shared by all connections
-	writeBuffer  []byte    // for writes, shared by all connections
-	closeQueue   []*client // idle, and ended by their clients; closed in batches
-	readQueue    []*client // have more to read than their turn allows, the longest waiting first
-	dirty        []*client // may have replies to write
-	unwatched    []*client // accepted, but the poller could not register them yet
-	stalled      list.List // of *client: wait for their clients to read on, the longest first
-	stalledBytes int       // bytes of replies that are due to these
-	accepted     uint64    // connections so far
+	cfg         *Config
+	loop        *loop
+	ln          reactor.Listener // nil once no further connection is accepted
+	admission   *admission.Controller[*client]
+	clients     []*client // in no order
+	readBuffer  []byte    // for reads, shared by all connections
+	writeBuffer []byte    // for writes, shared by all connections
+	closeQueue  []*client // idle, and ended by their clients; closed in batches
+	readQueue   []*client // have more to read than their turn allows, the longest waiting first
+	dirty       []*client // may have replies to write
+	unwatched   []*client // accepted, but the poller could not register them yet
+	stalled     stalledClients
+	accepted    uint64 // connections so far
 
 	acceptReady     bool          // the listener may have more
 	acceptRetryAt   time.Duration // after a failed accept or a full batch, no accept before then; 0: no wait
@@ -63,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{cfg: cfg, loop: l, admission: controller, readBuffer: make([]byte, sharedBufferSize), empty: make(chan struct{}), round: 1,
+	f := &front{cfg: cfg, loop: l, admission: controller, readBuffer: make([]byte, sharedBufferSize), empty: make(chan struct{}), round: 1, stalled: stalledClients{memory: l.memory},
 		fdShortage: shortage{halfLimit: cfg.Limits.Sockets / 2}}
 	address := cfg.Listen
 	if cfg.InheritedListener != "" {
@@ -354,14 +352,6 @@
 	f.clients = f.clients[:last]
 }
 
-// unstall removes a connection from those that wait for their clients to read on.
-func (f *front) unstall(c *client) {
-	if c.stallEntry != nil {
-		f.stalled.Remove(c.stallEntry)
-		c.stallEntry = nil
-	}
-}
-
 // drain makes each connection close as soon as nothing is open on it.
 func (f *front) drain() {
 	f.draining = true
