Run the tests under the tracer and the filter of system calls on arm64 too

Cause: the tracer that makes system calls fail read the registers of x86-64, and the filter of the standing trial knew its call numbers alone. So the tests of failing calls, of the deployed binary under the filter and the soak were left out of every run on arm64.

Change: faultinject reads and writes the registers through a type with one file an architecture, which also holds the clock code that replaces the vDSO's; on arm64 a call is skipped through its own register set. confine takes the architecture and the calls that fork from such a file. The build tag amd64 is gone from all files.

--- a/cmd/bench/soak/main.go
+++ b/cmd/bench/soak/main.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 // Command soak plays seeds of package soak against the built ingress, and prints a line a seed and
 // what broke the rules. It is started by hand; CI plays a few seeds in a test.
--- a/internal/faultinject/calls.go
+++ b/internal/faultinject/calls.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 package faultinject
 
@@ -32,43 +32,50 @@
 
 // classifiers, by system call number, return the kind of a call, or "" if it must not fail.
 // Those of connect and close also update the state of the descriptor.
-var classifiers = map[int]func(t *tracer, r *syscall.PtraceRegs) Call{
-	unix.SYS_ACCEPT4:       func(*tracer, *syscall.PtraceRegs) Call { return Accept },
-	unix.SYS_SOCKET:        func(*tracer, *syscall.PtraceRegs) Call { return Socket },
-	unix.SYS_EPOLL_WAIT:    func(*tracer, *syscall.PtraceRegs) Call { return Poll },
-	unix.SYS_EPOLL_PWAIT:   func(*tracer, *syscall.PtraceRegs) Call { return Poll },
-	unix.SYS_PPOLL:         func(*tracer, *syscall.PtraceRegs) Call { return Poll },
-	unix.SYS_EPOLL_CREATE1: func(*tracer, *syscall.PtraceRegs) Call { return CreatePoller },
-	unix.SYS_OPENAT:        func(*tracer, *syscall.PtraceRegs) Call { return Open },
-	unix.SYS_FLOCK:         func(*tracer, *syscall.PtraceRegs) Call { return Lock },
-	unix.SYS_FSYNC:         func(*tracer, *syscall.PtraceRegs) Call { return Sync },
-	unix.SYS_FDATASYNC:     func(*tracer, *syscall.PtraceRegs) Call { return Sync },
-	unix.SYS_EPOLL_CTL: func(_ *tracer, r *syscall.PtraceRegs) Call {
-		if r.Rsi == unix.EPOLL_CTL_ADD {
-			return Watch
-		}
-		return ""
-	},
-	unix.SYS_CONNECT: func(t *tracer, r *syscall.PtraceRegs) Call {
-		t.descriptor(int(r.Rdi)).connected = true
-		return Connect
-	},
-	unix.SYS_CLOSE: func(t *tracer, r *syscall.PtraceRegs) Call {
-		delete(t.descriptors, int(r.Rdi))
-		return ""
-	},
-	unix.SYS_READ:     func(t *tracer, r *syscall.PtraceRegs) Call { return t.transferCall(r, readDirection) },
-	unix.SYS_RECVFROM: func(t *tracer, r *syscall.PtraceRegs) Call { return t.transferCall(r, readDirection) },
-	unix.SYS_WRITE:    func(t *tracer, r *syscall.PtraceRegs) Call { return t.transferCall(r, writeDirection) },
-	unix.SYS_PWRITE64: func(t *tracer, r *syscall.PtraceRegs) Call { return t.transferCall(r, writeDirection) },
-	unix.SYS_SENDTO:   func(t *tracer, r *syscall.PtraceRegs) Call { return t.transferCall(r, writeDirection) },
+var classifiers = newClassifiers()
+
+func newClassifiers() map[int]func(t *tracer, r *registers) Call {
+	byNumber := map[int]func(t *tracer, r *registers) Call{
+		unix.SYS_ACCEPT4:       func(*tracer, *registers) Call { return Accept },
+		unix.SYS_SOCKET:        func(*tracer, *registers) Call { return Socket },
+		unix.SYS_EPOLL_PWAIT:   func(*tracer, *registers) Call { return Poll },
+		unix.SYS_PPOLL:         func(*tracer, *registers) Call { return Poll },
+		unix.SYS_EPOLL_CREATE1: func(*tracer, *registers) Call { return CreatePoller },
+		unix.SYS_OPENAT:        func(*tracer, *registers) Call { return Open },
+		unix.SYS_FLOCK:         func(*tracer, *registers) Call { return Lock },
+		unix.SYS_FSYNC:         func(*tracer, *registers) Call { return Sync },
+		unix.SYS_FDATASYNC:     func(*tracer, *registers) Call { return Sync },
+		unix.SYS_EPOLL_CTL: func(_ *tracer, r *registers) Call {
+			if r.argument(1) == unix.EPOLL_CTL_ADD {
+				return Watch
+			}
+			return ""
+		},
+		unix.SYS_CONNECT: func(t *tracer, r *registers) Call {
+			t.descriptor(int(r.argument(0))).connected = true
+			return Connect
+		},
+		unix.SYS_CLOSE: func(t *tracer, r *registers) Call {
+			delete(t.descriptors, int(r.argument(0)))
+			return ""
+		},
+		unix.SYS_READ:     func(t *tracer, r *registers) Call { return t.transferCall(r, readDirection) },
+		unix.SYS_RECVFROM: func(t *tracer, r *registers) Call { return t.transferCall(r, readDirection) },
+		unix.SYS_WRITE:    func(t *tracer, r *registers) Call { return t.transferCall(r, writeDirection) },
+		unix.SYS_PWRITE64: func(t *tracer, r *registers) Call { return t.transferCall(r, writeDirection) },
+		unix.SYS_SENDTO:   func(t *tracer, r *registers) Call { return t.transferCall(r, writeDirection) },
+	}
+	for _, number := range olderPollCalls {
+		byNumber[number] = func(*tracer, *registers) Call { return Poll }
+	}
+	return byNumber
 }
 
 func tracedCalls() []int { return slices.Sorted(maps.Keys(classifiers)) }
 
 // transferCall returns the kind of a read or write, or "" if it must not fail.
-func (t *tracer) transferCall(r *syscall.PtraceRegs, dir direction) Call {
-	d := t.descriptor(int(r.Rdi))
+func (t *tracer) transferCall(r *registers, dir direction) Call {
+	d := t.descriptor(int(r.argument(0)))
 	switch {
 	case d.regular && dir == readDirection:
 		return ReadFile
@@ -110,17 +117,17 @@
 }
 
 // path returns the name of the file that a call refers to, or "" if there is none.
-func (t *tracer) path(tid int, call Call, regs *syscall.PtraceRegs) string {
+func (t *tracer) path(tid int, call Call, regs *registers) string {
 	switch call {
 	case Open:
 		name := make([]byte, maxPathBytes)
-		n, err := syscall.PtracePeekData(tid, uintptr(regs.Rsi), name)
+		n, err := syscall.PtracePeekData(tid, uintptr(regs.argument(1)), name)
 		if err != nil && n == 0 {
 			return ""
 		}
 		return unix.ByteSliceToString(name[:n])
 	case ReadFile, WriteFile, Sync, Lock:
-		return t.descriptor(int(regs.Rdi)).name
+		return t.descriptor(int(regs.argument(0))).name
 	}
 	return ""
 }
@@ -129,36 +136,35 @@
 
 // interceptCall makes the system call at which a thread has stopped fail, if a rule applies.
 func (t *tracer) interceptCall(tid int) {
-	var regs syscall.PtraceRegs
-	if syscall.PtraceGetRegs(tid, &regs) != nil {
+	regs, err := readRegisters(tid)
+	if err != nil {
 		return // the thread has ended
 	}
-	if regs.Orig_rax == unix.SYS_CLOCK_GETTIME {
-		t.interceptClock(tid, &regs)
+	if regs.callNumber() == unix.SYS_CLOCK_GETTIME {
+		t.interceptClock(tid, regs)
 		return
 	}
-	classify := classifiers[int(regs.Orig_rax)]
+	classify := classifiers[regs.callNumber()]
 	if classify == nil {
 		return
 	}
-	call := classify(t, &regs)
+	call := classify(t, regs)
 	if call == "" {
 		return
 	}
 	onSocket := call == ReadBackend || call == WriteBackend || call == ReadClient || call == WriteClient
 	if onSocket {
-		if d := t.descriptor(int(regs.Rdi)); d.broken != 0 {
-			skipCall(tid, &regs, d.broken)
+		if d := t.descriptor(int(regs.argument(0))); d.broken != 0 {
+			regs.skipCall(d.broken)
 			return
 		}
 	}
-	rule, matched := t.rules.match(call, t.path(tid, call, &regs))
+	rule, matched := t.rules.match(call, t.path(tid, call, regs))
 	if !matched {
 		return
 	}
 	if rule.Fault == Short {
-		regs.Rdx = t.rules.shortLength(rule, regs.Rdx)
-		_ = syscall.PtraceSetRegs(tid, &regs)
+		regs.setLength(t.rules.shortLength(rule, regs.argument(2)))
 		return
 	}
 	errno, known := errnoByName[rule.Fault]
@@ -167,17 +173,9 @@
 		return
 	}
 	if rule.Broken && onSocket {
-		t.descriptor(int(regs.Rdi)).broken = errno
+		t.descriptor(int(regs.argument(0))).broken = errno
 	}
-	skipCall(tid, &regs, errno)
-}
-
-// skipCall makes the call return an error, or 0 for success, without being executed: the call number
-// -1 makes the kernel skip it.
-func skipCall(tid int, regs *syscall.PtraceRegs, errno syscall.Errno) {
-	regs.Orig_rax = ^uint64(0)
-	regs.Rax = -uint64(errno)
-	_ = syscall.PtraceSetRegs(tid, regs)
+	regs.skipCall(errno)
 }
 
 // errnoByName holds the errors that rules can name.
--- a/internal/faultinject/clock.go
+++ b/internal/faultinject/clock.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 package faultinject
 
@@ -18,11 +18,6 @@
 // the tracer could intercept. When the program starts, its copy of that code is replaced by one that makes the
 // system call. The seccomp filter stops it only for the wall clock; the monotonic clock is unaffected.
 
-// clockGettimeCode is "mov $228, %eax; syscall; ret": clock_gettime as a system call.
-var clockGettimeCode = []byte{0xb8, 0xe4, 0x00, 0x00, 0x00, 0x0f, 0x05, 0xc3}
-
-const clockSymbol = "__vdso_clock_gettime"
-
 var errNoClockCode = errors.New("the process has no vDSO with clock_gettime")
 
 // patchClock replaces the clock code of a process that has just executed the program.
@@ -77,7 +72,7 @@
 }
 
 // interceptClock returns the stepped time to a call that reads the wall clock, if a step is set.
-func (t *tracer) interceptClock(tid int, regs *syscall.PtraceRegs) {
+func (t *tracer) interceptClock(tid int, regs *registers) {
 	step := t.rules.currentClockStep()
 	if step == 0 {
 		return
@@ -85,8 +80,8 @@
 	now := time.Now().Add(step)
 	value := binary.LittleEndian.AppendUint64(nil, uint64(now.Unix()))
 	value = binary.LittleEndian.AppendUint64(value, uint64(now.Nanosecond()))
-	if _, err := syscall.PtracePokeData(tid, uintptr(regs.Rsi), value); err != nil {
+	if _, err := syscall.PtracePokeData(tid, uintptr(regs.argument(1)), value); err != nil {
 		return // the call is executed and returns the error for a bad address itself
 	}
-	skipCall(tid, regs, 0)
+	regs.skipCall(0)
 }
--- a/internal/faultinject/faultinject.go
+++ b/internal/faultinject/faultinject.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 // Package faultinject runs a program whose system calls can be made to fail in ways that
 // Linux documents: with an error, with fewer bytes than requested, or interrupted. It is
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 package soak
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 // Package soak runs a small installation of real processes on loopback under random, overlapping faults, and checks it
 // against the rules. The faults are failing system calls; connections that are cut, silenced or reset; backends that
--- a/internal/standin/confine/confine.go
+++ b/internal/standin/confine/confine.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 // Package confine runs a program under a seccomp filter (seccomp(2)) that denies the
 // system calls denied by the standing trial on the full fleet: those that execute
@@ -45,7 +45,7 @@
 	number uint32
 	err    syscall.Errno
 }{
-	{unix.SYS_FORK, unix.ENOSYS}, {unix.SYS_VFORK, unix.ENOSYS}, {unix.SYS_EXECVEAT, unix.ENOSYS},
+	{unix.SYS_EXECVEAT, unix.ENOSYS},
 	{unix.SYS_IO_URING_SETUP, unix.ENOSYS}, {unix.SYS_IO_URING_ENTER, unix.ENOSYS}, {unix.SYS_IO_URING_REGISTER, unix.ENOSYS},
 	{unix.SYS_SPLICE, unix.EINVAL}, {unix.SYS_SENDFILE, unix.ENOSYS},
 }
@@ -66,9 +66,13 @@
 		}
 	}
 	load(offArch)
-	f = append(f, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 1, K: unix.AUDIT_ARCH_X86_64})
+	f = append(f, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 1, K: auditArch})
 	ret(unix.SECCOMP_RET_KILL_PROCESS) // call numbers differ between architectures
 	load(offNumber)
+	for _, number := range forkCalls {
+		skipUnless(unix.BPF_JEQ, number, 1)
+		deny(unix.ENOSYS)
+	}
 	for _, r := range deniedCalls {
 		skipUnless(unix.BPF_JEQ, r.number, 1)
 		deny(r.err)
