Bound how many connections are accepted once the listener is to close

Cause: since the listener's queue is emptied in batches at the stop, clients that connect anew as soon as they are closed could keep it from ever being empty, and the listener open.

Change: the listener closes after 65,535 connections, as its queue holds no more: all that waited at the stop have been accepted by then.

No test of its own: it takes a crowd of over 64 new connections a millisecond.

--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -14,6 +14,7 @@
 	acceptRetryDelay = 5 * time.Millisecond
 	growInterval     = time.Second // without a failed accept, before one admission place is restored
 	acceptBatch      = 64          // connections accepted before the others have their turn
+	maxBacklog       = 1<<16 - 1   // connections that a listener's queue holds at most
 )
 
 // acceptor handles the events of the listener.
@@ -134,6 +135,9 @@
 		switch {
 		case err == nil:
 			f.addClient(nc, now)
+			if f.backlogAccepted++; f.backlogAccepted == maxBacklog { // all that waited at the stop, and others behind them
+				f.endListener()
+			}
 		case errors.Is(err, reactor.ErrWouldBlock):
 			f.endListener()
 		default:
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -40,6 +40,7 @@
 	fdShortage      shortage
 	closeBatchAt    time.Duration // no batch of closeQueue is closed before then
 	emptyingBacklog bool          // the listener closes once its backlog is empty
+	backlogAccepted int           // connections accepted since then
 	round           uint32        // counts the rounds from 1
 	draining        bool
 	finished        bool          // accepts no request but those that have arrived
