End a shortage of descriptors by what is held, not by one accept

What callers saw: in a process that can hold fewer descriptors than configured, requests waited for up to ten seconds in the listener's queue behind idle clients.

Each accept that succeeded ended it, also one in the place of a connection that had just been closed.

Change: it ends once more connections are held than at the last failure.

Evidence: the log of requests shows 4 to 54 accepts and 51 to 154 failed ones a second for ten seconds before. The new test failed before and passes.

--- a/internal/ingress/shortage.go
+++ b/internal/ingress/shortage.go
@@ -14,8 +14,9 @@
 // holds cause the shortage, and whether it is over.
 type shortage struct {
 	halfLimit     int           // half of the descriptors that the process may hold
-	failingSince  time.Duration // when accepts or dials began to fail; 0 after a success
+	failingSince  time.Duration // when accepts or dials began to fail; 0 once one more connection could be held
 	lastFailure   time.Duration // when the last one failed
+	heldAtLast    int           // connections held then
 	heldAtFailure int           // connections held at the last shortage that the process caused
 	trialAt       time.Duration // no trial before then
 	trialInterval time.Duration // between trials
@@ -27,7 +28,7 @@
 	if s.failingSince == 0 || now-s.lastFailure > transientShortage/2 {
 		s.failingSince = now
 	}
-	s.lastFailure = now
+	s.lastFailure, s.heldAtLast = now, held
 	if held < s.halfLimit && now-s.failingSince < transientShortage {
 		return false
 	}
@@ -42,8 +43,12 @@
 func (s *shortage) trialDue(now time.Duration) bool { return now >= s.trialAt }
 
 // recordSuccess records a successful accept. It reports whether the number of connections held now shows that they
-// did not cause the shortage: it is higher than at the failure.
+// did not cause the shortage: it is higher than at the failure. An accept in the place of a connection that was closed
+// says nothing on that.
 func (s *shortage) recordSuccess(held int) bool {
+	if held <= s.heldAtLast {
+		return false
+	}
 	s.failingSince = 0
 	if held <= s.heldAtFailure {
 		return false
--- a/internal/ingress/shortage_test.go
+++ b/internal/ingress/shortage_test.go
@@ -38,3 +38,27 @@
 		t.Errorf("the trial interval grows to %v, want %v", s.trialAt-time.Minute, maxTrialInterval)
 	}
 }
+
+// Guards against requests that wait for ten seconds in the listener's queue: while accepts failed for want of
+// descriptors, each one that took the place of a closed connection counted as the end of the shortage.
+func TestAcceptInThePlaceOfAClosedConnectionDoesNotEndAShortage(t *testing.T) {
+	s := shortage{halfLimit: 100}
+	end := time.Second + transientShortage
+	for now := time.Second; now < end; now += 50 * time.Millisecond {
+		if s.recordFailure(now, 10) || s.recordSuccess(10) {
+			t.Errorf("after %v the shortage counts as the process's own, or as over", now-time.Second)
+		}
+	}
+	if !s.recordFailure(end, 10) {
+		t.Error("a shortage that lasts does not count as the process's own if connections are replaced meanwhile")
+	}
+	s = shortage{halfLimit: 100}
+	for now := time.Second; now <= end; now += 50 * time.Millisecond { // one more could be held each time
+		if s.recordFailure(now, 10); !s.recordSuccess(11) {
+			t.Error("the shortage is not over once more connections are held than at the failure")
+		}
+	}
+	if s.recordFailure(end+50*time.Millisecond, 10) {
+		t.Error("failures that each end count as one shortage")
+	}
+}
