Believe a refusal only if the read behind it did not fail: a payment ran twice

Cause: behind a refusal's line the connection is read once more, as a refusal that more follows belongs to an earlier request.

Change: Read returns ErrReadFailed, a case of ErrWouldBlock, where it could not read; the attempt then ends as one that may have run.

It allows a refusal of a payment that never ran: looks at connections fail as well there.

--- a/cmd/wickarch/faults_test.go
+++ b/cmd/wickarch/faults_test.go
@@ -178,6 +178,41 @@
 	f.expectNoPaymentTwice()
 }
 
+// Guards against payments that run twice: a refusal counted as one that nothing follows if the read behind it failed.
+func TestRefusalBehindWhichNothingCanBeReadIsNotRetried(t *testing.T) {
+	for _, fault := range []string{"ENOMEM", "EINTR"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			share := 0.5
+			if fault == "EINTR" {
+				share = 0.97 // the read is repeated until it has been interrupted maxInterrupts times
+			}
+			f := startTraced(t)
+			f.setRules(faultinject.Rule{Call: faultinject.ReadBackend, Fault: fault, Share: share},
+				faultinject.Rule{Call: faultinject.ReadBackend, Fault: faultinject.Short, Share: 1, MaxBytes: len("-BUSY\r\n")})
+			sent := 0
+			for range 20 {
+				id := newIDs(2)[1]
+				c := f.dial()
+				if err := c.Send(standin.Payment(ambiguousRefusalCustomer, id, int(faultTestDeadline.Milliseconds()))...); err != nil {
+					t.Fatal(err)
+				}
+				got, runs := c.Outcome(id), f.effects.Count(id)
+				sent += runs
+				// With failing looks at its connections a payment may never be sent; then it may be refused.
+				if got != standin.Failed && (got != standin.Refused || runs > 0) {
+					t.Errorf("payment that ran %d times: outcome %d, want 2 (failed)", runs, got)
+				}
+			}
+			if sent == 0 {
+				t.Error("no payment was sent, the test is inconclusive")
+			}
+			f.expectNoPaymentTwice()
+			f.expectNoViolations()
+		})
+	}
+}
+
 // Guards against connections that are left in the listen queue: all accept errors but two were treated as a lack of
 // descriptors, which reduced the connection slots for seconds.
 func TestConnectionsAreAcceptedAfterAcceptErrors(t *testing.T) {
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -10,6 +10,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	// ErrWouldBlock is returned if nothing can be read, or nothing more can be
 	// written, until the next event.
 	ErrWouldBlock = errors.New("operation would block")
+	// ErrReadFailed is returned by Read, as a case of ErrWouldBlock, if the call failed
+	// for a transient reason: there may be data, and the handler is called again.
+	ErrReadFailed = fmt.Errorf("%w: the read failed and will be repeated", ErrWouldBlock)
 	// ErrOutOfResources is returned if the process or the whole system has run
 	// out of descriptors or memory.
 	ErrOutOfResources = errors.New("out of descriptors or memory")
@@ -51,7 +55,7 @@
 	// system can't watch any more descriptors.
 	Watch(Handler) error
 	// Read reads the available data. It returns ErrWouldBlock if there is none,
-	// and io.EOF at the end of the stream.
+	// ErrReadFailed if that is unknown, and io.EOF at the end of the stream.
 	Read(b []byte) (n int, err error)
 	// Write writes as much as the send buffer accepts now. It returns
 	// ErrWouldBlock with n < len(b) if that is not all of it.
--- a/internal/reactor/retry.go
+++ b/internal/reactor/retry.go
@@ -50,7 +50,7 @@
 func (k *socket) retryRead() error {
 	k.sockets.markReadsDelayed()
 	k.notifyLater(Readable, shortBackoff)
-	return ErrWouldBlock
+	return ErrReadFailed
 }
 
 // markReadsDelayed records that received data may wait longer than the events show.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -271,7 +271,7 @@
 			c.startStream(reply, received[consumed:])
 			return
 		case consumed > 0 && reply.Status == choice.Refused:
-			c.finishRefused(reply, received[:consumed], c.readExtra(received[consumed:]))
+			c.finishRefused(reply, received[:consumed], received[consumed:])
 			return
 		case consumed > 0:
 			c.finish(reply, len(received) > consumed)
@@ -287,29 +287,34 @@
 	}
 }
 
-// finishRefused ends the attempt with a refusal if nothing but a copy of it follows. A refusal that the backend
+// finishRefused ends the attempt with a refusal if it is certain that nothing but a copy of it follows. A refusal that the backend
 // sent between requests is not the reply to this one; that reply then follows, and the attempt may have run.
-func (c *conn) finishRefused(r Reply, line, extra []byte) {
-	if !isCopyOf(extra, line) {
+func (c *conn) finishRefused(r Reply, line, alreadyRead []byte) {
+	extra, err := c.readExtra(alreadyRead)
+	if err != nil || !isCopyOf(extra, line) {
 		c.pool.countUnsolicited()
-		c.fail(choice.Error, CauseUnexpected, nil)
+		c.fail(choice.Error, CauseUnexpected, err)
 		return
 	}
 	c.finish(r, len(extra) > 0)
 }
 
-// readExtra returns the bytes that follow a reply: those read already, and those that have arrived since.
-func (c *conn) readExtra(alreadyRead []byte) []byte {
+// readExtra returns the bytes that follow a reply: those read already, and those that have arrived since. It
+// returns reactor.ErrReadFailed if it is unknown whether any have.
+func (c *conn) readExtra(alreadyRead []byte) ([]byte, error) {
 	extra := slices.Clone(alreadyRead)
 	var buf [maxExtra]byte
 	for len(extra) < maxExtra {
 		n, err := c.net.Read(buf[:])
+		if errors.Is(err, reactor.ErrReadFailed) {
+			return nil, err
+		}
 		if err != nil {
 			break // nothing more, or an end
 		}
 		extra = append(extra, buf[:n]...)
 	}
-	return extra
+	return extra, nil
 }
 
 const maxExtra = 256 // bytes read after a reply, to tell which request it belongs to
