Try a last write before a client is closed for taking nothing

What callers saw: after the process had been held up for longer than the time for a client to read on, a client that had read everything meanwhile was closed as a slow reader, and its other answers were lost.

Cause: in a round the timers come before the writes that its events ask for, so that a late round judged the client before it wrote.

Change: before a connection is closed for what its client has not taken, the rest of the last write is tried again; it is closed only if nothing goes out.

--- a/internal/ingress/stalled.go
+++ b/internal/ingress/stalled.go
@@ -58,8 +58,24 @@
 		if now-c.progressAt < grace {
 			return
 		}
-		c.close(reason, nil)
+		// The process may have been held up, and its next write with it.
+		if !c.takesMore() {
+			c.close(reason, nil)
+		}
+	}
+}
+
+// takesMore writes the rest of the last write, and reports whether the socket accepted any of it.
+func (c *client) takesMore() bool {
+	stalled := &c.front.stalled
+	before := len(c.unwritten)
+	if c.write(c.unwritten) {
+		stalled.remove(c)
+		c.resetTimer()
+		c.markDirty()
+		return true
 	}
+	return c.net == nil || len(c.unwritten) < before
 }
 
 // grace returns for how long a client may take none of its replies, and the reason for closing it after that.
@@ -76,7 +92,7 @@
 // checkStalled enforces the limits, and sets when the connection is checked again.
 func (c *client) checkStalled(now time.Duration) {
 	c.front.stalled.enforceLimits(now)
-	if c.net != nil {
+	if c.stallEntry != nil && c.writeDeadline == 0 {
 		c.writeDeadline = c.progressAt + writeTimeout
 	}
 }
--- a/internal/ingress/stalled_test.go
+++ b/internal/ingress/stalled_test.go
@@ -151,6 +151,27 @@
 	}
 }
 
+// Guards against a client that is closed as one that takes nothing after the process has been held up: the client has
+// read all that there was meanwhile.
+func TestStallOfTheProcessDoesNotCountAgainstReaders(t *testing.T) {
+	sim := newSimulation(t, 1, 4, nil)
+	client := sim.stall()
+	sim.node.Pause()
+	for range 4 {
+		client.readSome()
+		sim.advance(ms)
+	}
+	sim.advance(writeTimeout)
+	sim.node.Resume()
+	for range 2*longAnswers + 2 {
+		sim.advance(10 * ms)
+		client.readSome()
+	}
+	if client.bytesRead != longReplyBytes {
+		t.Errorf("the client got %d bytes, want %d; closed as a slow reader: %d", client.bytesRead, longReplyBytes, sim.closes(closedSlowReader))
+	}
+}
+
 // Guards against a client that reads and is closed for what others do not read: beyond the limits those that have
 // taken nothing for longest are closed, and no other.
 func TestMemoryIsTakenFromClientsThatReadNothing(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -287,8 +287,9 @@
 	}
 }
 
-// finishRefused ends the attempt with a refusal if it is certain that nothing but a copy of it follows. A refusal that the backend
-// sent between requests is not the reply to this one; that reply then follows, and the attempt may have run.
+// finishRefused ends the attempt with a refusal if it is certain that nothing but a copy of it follows. A refusal
+// that the backend sent between requests is not the reply to this one; that reply then follows, and the attempt
+// may have run.
 func (c *conn) finishRefused(r Reply, line, alreadyRead []byte) {
 	extra, err := c.readExtra(alreadyRead)
 	if err != nil || !isCopyOf(extra, line) {
