review: a backend that hangs in its proof counts as back, and the next goes out

Cause: while a look at the program is not answered the last result stays (internal/agent, Run; rollout/agent.go, step), so the proof ends in the midst of it.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -24,6 +24,7 @@
 
 var cases = map[string]func(*stage) (broken string){
 	"memory": memoryCase,
+	"proof":  proofCase,
 	"flood":  floodCase,
 	"finish": finishCase,
 	"halt":   haltCase,
