Answer every command that was read while memory is short

Cause: memory was asked for after the bytes had been read. What was read behind the limit of open commands had to be held; where that found no memory, the connection was ended and the rest dropped. A large command that came in pieces ended its connection in the same way.

Change: while memory for input is short, 512 bytes are read at a time, and these are always held. A longer command is read on into the shared buffer, exactly to its end, and started if it is whole; otherwise its bytes are discarded as they come, and it is refused behind the last one. Input may hold half of the memory for clients. memory-refusals counts what was refused.

--- a/internal/ingress/closing.go
+++ b/internal/ingress/closing.go
@@ -13,7 +13,7 @@
 func (c *client) closeAfterReplies(reason closeReason) {
 	c.closing, c.reason = true, reason
 	c.readDeadline, c.resumeAt = 0, 0
-	c.keepPartial(nil)
+	c.dropInput()
 	c.markDirty()
 	c.resetTimer()
 }
@@ -29,7 +29,7 @@
 	c.front.loop.events.connectionClosed(c, c.reason, nil)
 	c.net.CloseWrite()
 	c.closing = true
-	c.keepPartial(nil)
+	c.dropInput()
 	c.readDeadline, c.resumeAt = 0, 0
 	c.endedAt = c.front.loop.Now()
 	c.lingerUntil = c.endedAt + lingerTimeout
@@ -119,7 +119,7 @@
 		if c.net == nil || c.readDeadline > 0 || !c.readTimed {
 			break // the command was complete, or has moved the deadline
 		}
-		if len(c.partial) > 0 {
+		if len(c.partial) > 0 || c.skipped != nil {
 			c.endWithError(closedIncompleteCommand, errPartialCommand)
 		} else {
 			c.endWithError(closedNoCommand, errNoCommand)
@@ -166,7 +166,7 @@
 	f.stalled.remove(c)
 	f.loop.memory.release(c.replyBytes)
 	c.replyBytes, c.unwritten = 0, nil
-	c.keepPartial(nil)
+	c.dropInput()
 	for s := c.first; s != nil; s = s.next {
 		if !s.filled && s.request != nil {
 			open = append(open, s.request)
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -22,7 +22,6 @@
 	closedInvalidCommands                      // too many invalid commands
 	closedNoCommand                            // no command arrived in time
 	closedIncompleteCommand                    // the rest of a command did not arrive in time
-	closedNoMemory                             // no memory left for a command
 	closedIdle                                 // idle, and its place was needed
 	closedDraining                             // the ingress is draining and no request is open on the connection
 	closedShutdown                             // the process is shutting down
@@ -32,7 +31,7 @@
 )
 
 var closeReasonNames = [closeReasons]string{"client", "read-failed", "write-failed", "slow-reader", "unread", "malformed", "wrong", "silent",
-	"half", "no-memory", "idle", "draining", "finished", "value-broken", "ended"}
+	"half", "idle", "draining", "finished", "value-broken", "ended"}
 
 func (r closeReason) String() string { return closeReasonNames[r] }
 
@@ -57,6 +56,7 @@
 	retries          uint64
 	acceptsFailed    uint64
 	watchesFailed    uint64
+	memoryRefusals   uint64 // commands refused for want of memory
 	violations       lifecycle.Counts
 	details          *slog.Logger // nil: count only
 }
@@ -159,7 +159,8 @@
 			b = fmt.Appendf(b, " %s=%d", v, n)
 		}
 	}
-	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d watches-failed=%d\n", e.retries, e.acceptsFailed, e.watchesFailed)
+	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d watches-failed=%d memory-refusals=%d\n", e.retries, e.acceptsFailed, e.watchesFailed,
+		e.memoryRefusals)
 }
 
 // statusName returns the name of an attempt's status.
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -20,6 +20,9 @@
 	MaxLine          = 1024            // of an error line or a simple string
 )
 
+// LineEnd ends each line and the data of each bulk string.
+const LineEnd = "\r\n"
+
 const (
 	maxLengthDigits = 9
 	maxDigits       = 15 // of an integer or decimal
@@ -68,24 +71,15 @@
 
 // BulkOrNull parses a bulk string of at most maxLen bytes; data is nil for null.
 func BulkOrNull(buf []byte, maxLen int) (data []byte, n int, err error) {
-	if len(buf) == 0 {
-		return nil, 0, nil
-	}
-	if buf[0] != '$' {
-		return nil, 0, ErrMalformed
-	}
-	size, at, err := Length(buf)
+	size, at, err := BulkLength(buf, maxLen)
 	if err != nil || at == 0 {
 		return nil, 0, err
 	}
 	if size < 0 {
 		return nil, at, nil
 	}
-	if size > maxLen || size > MaxValue {
-		return nil, 0, ErrTooLong
-	}
 	end := at + size
-	for i, ch := range []byte("\r\n") {
+	for i, ch := range []byte(LineEnd) {
 		if end+i >= len(buf) {
 			return nil, 0, nil
 		}
@@ -93,7 +87,23 @@
 			return nil, 0, ErrMalformed
 		}
 	}
-	return buf[at:end:end], end + 2, nil
+	return buf[at:end:end], end + len(LineEnd), nil
+}
+
+// BulkLength parses the length line of a bulk string of at most maxLen bytes; size
+// is -1 for null. The data follows, and then LineEnd.
+func BulkLength(buf []byte, maxLen int) (size, n int, err error) {
+	if len(buf) == 0 {
+		return 0, 0, nil
+	}
+	if buf[0] != '$' {
+		return 0, 0, ErrMalformed
+	}
+	size, n, err = Length(buf)
+	if err == nil && n > 0 && (size > maxLen || size > MaxValue) {
+		return 0, 0, ErrTooLong
+	}
+	return size, n, err
 }
 
 // Line parses the text line after a type byte.
