--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"wickarch/internal/standin"
 )
@@ -39,16 +40,37 @@
 
 	mu      sync.Mutex
 	profile faultProfile
-	conns   map[net.Conn]struct{}
+	conns   map[*backendConn]struct{}
 	closed  bool
 }
 
+// backendConn is a connection of a backend.
+type backendConn struct {
+	net.Conn
+	lastValue *attempt // the last one whose value was written
+	truncated bool     // it was reset before the peer's kernel had acknowledged all that was written
+}
+
+// resetOnClose makes Close reset the connection.
+func (c *backendConn) resetOnClose() { _ = c.Conn.(*net.TCPConn).SetLinger(0) }
+
+// unacknowledged reports whether bytes that were written are still on this side. A reset drops them.
+func (c *backendConn) unacknowledged() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	n := 0
+	control := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return control != nil || err != nil || n > 0
+}
+
 func newBackend(r *run, id string, startedAt time.Time) (*backend, error) {
 	ln, err := standin.Listen()
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, run: r, ln: ln, startedAt: startedAt, conns: map[net.Conn]struct{}{}, profile: healthyProfile}
+	b := &backend{id: id, run: r, ln: ln, startedAt: startedAt, conns: map[*backendConn]struct{}{}, profile: healthyProfile}
 	go b.accept()
 	return b, nil
 }
@@ -91,17 +113,30 @@
 	defer b.mu.Unlock()
 	b.closed = true
 	for nc := range b.conns {
-		_ = nc.(*net.TCPConn).SetLinger(0)
+		if nc.truncated = nc.unacknowledged(); nc.truncated && nc.lastValue != nil {
+			b.run.record.setValueWritten(nc.lastValue, false)
+		}
+		nc.resetOnClose()
 		nc.Close()
 	}
 }
 
+// recordValue records that the value of an attempt was written. A write returns once the kernel has all bytes: unless
+// the connection was reset then, they reach the peer.
+func (b *backend) recordValue(nc *backendConn, a *attempt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	nc.lastValue = a
+	b.run.record.setValueWritten(a, !nc.truncated)
+}
+
 func (b *backend) accept() {
 	for {
-		nc, err := b.ln.Accept()
+		accepted, err := b.ln.Accept()
 		if err != nil {
 			return
 		}
+		nc := &backendConn{Conn: accepted}
 		b.mu.Lock()
 		if b.closed {
 			nc.Close()
@@ -121,7 +156,7 @@
 
 // serve reads commands on one goroutine and handles them on another, so that the end of the connection is
 // noticed while a command is being handled.
-func (b *backend) serve(nc net.Conn) {
+func (b *backend) serve(nc *backendConn) {
 	received, connEnded := make(chan receivedCommand, 64), make(chan struct{})
 	var current *attempt
 	var mu sync.Mutex
@@ -195,7 +230,7 @@
 }
 
 // handle executes one command and reports whether the connection stays open.
-func (b *backend) handle(nc net.Conn, command receivedCommand, a *attempt, profile faultProfile, connEnded <-chan struct{}) bool {
+func (b *backend) handle(nc *backendConn, command receivedCommand, a *attempt, profile faultProfile, connEnded <-chan struct{}) bool {
 	id := ""
 	if len(command.args) > 2 {
 		id = string(command.args[2])
@@ -226,7 +261,7 @@
 		<-connEnded
 		return false
 	case pick(profile.resetShare):
-		_ = nc.(*net.TCPConn).SetLinger(0)
+		nc.resetOnClose()
 		return false
 	case pick(profile.errorShare):
 		reply, corrupt = []byte("-ERR failed\r\n"), true
@@ -249,7 +284,7 @@
 		return false
 	}
 	if !corrupt {
-		b.run.record.markValueWritten(a)
+		b.recordValue(nc, a)
 	}
 	return true
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -58,7 +58,7 @@
 	timeout      time.Duration // as the command states it
 	endedAt      time.Time     // when it was answered or its connection ended; zero: neither
 	executed     bool          // the backend did not refuse it
-	valueWritten bool          // the backend wrote the complete, correct value
+	valueWritten bool          // the backend wrote the complete, correct value, and no reset of its connection dropped any of it
 }
 
 // record holds all requests of a run, by ID and in the order in which clients wrote them.
@@ -75,11 +75,11 @@
 	r.sequence = append(r.sequence, q)
 }
 
-// markValueWritten records that a backend wrote the complete value of an attempt.
-func (r *record) markValueWritten(a *attempt) {
+// setValueWritten records whether a backend wrote the complete value of an attempt, and its connection carried it.
+func (r *record) setValueWritten(a *attempt, written bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a.valueWritten = true
+	a.valueWritten = written
 }
 
 // update changes a request while the record is locked.
--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -100,7 +100,7 @@
 			return
 		}
 	}
-	r.addViolation(q, "lost: the value was truncated although its backend had written all of it")
+	r.addViolation(q, "lost: the value was truncated although its backend had delivered all of it")
 }
 
 // verifyAttempts checks the attempts that backends received against the rules.
