Await the rest of a command while the ingress itself reads nothing

Seen (by reading, then by the test): a client that had part of a command behind answers that it was slow to take got "-ERR the command did not become whole in time" and the end of its connection, although it had written the rest at once.

Cause: 2 s are given for the rest of a command. They ran on while nothing is read, because over 256 KiB of answers are due or a large value is passed on; the rest lay in the socket.

Change: while no command is taken, the deadline begins anew.

TestRestOfACommandIsAwaitedWhileNothingIsRead failed before.

--- a/internal/ingress/closing.go
+++ b/internal/ingress/closing.go
@@ -112,6 +112,10 @@
 	case expired(&c.resumeAt):
 		c.processInput()
 	case expired(&c.readDeadline):
+		if !c.acceptsCommands() { // what is missing may have arrived, and waits for this process
+			c.readDeadline = now + partialCommandTimeout
+			break
+		}
 		// Input that has arrived by now counts, even if a late round has not read it yet.
 		if c.hasInput() {
 			c.processInput()
--- a/internal/ingress/stalled_test.go
+++ b/internal/ingress/stalled_test.go
@@ -93,14 +93,16 @@
 	c.bytesRead += n
 }
 
-// stall connects a client that asks for long answers, and lets the answers fill its socket.
-func (i *simulation) stall() *slowClient {
+// stall connects a client that asks for long answers and sends a text behind its requests, and lets the answers fill its
+// socket.
+func (i *simulation) stall(behind string) *slowClient {
 	i.Helper()
 	i.net.Faults.Buffer = simulatedBuffer
 	c := &slowClient{virtualClient: virtualClient{simulation: i}}
 	for range longAnswers {
 		c.unsent = append(c.unsent, encodeRequest("lookup", newID(), 20_000)...)
 	}
+	c.unsent = append(c.unsent, behind...)
 	var err error
 	if c.conn, err = i.client.Dial(virtualAddress, c); err != nil {
 		i.Fatal(err)
@@ -130,7 +132,7 @@
 		reads bool // it reads on after the pause, a part at a time
 	}{{writeTimeout - 100*ms, true}, {writeTimeout + 100*ms, false}} {
 		sim := newSimulation(t, 1, 4, nil)
-		client := sim.stall()
+		client := sim.stall("")
 		sim.advance(c.pause - 10*ms)
 		if client.ended == c.reads {
 			t.Errorf("after %v the connection has ended: %v, want %v", c.pause, client.ended, !c.reads)
@@ -155,7 +157,7 @@
 // read all that there was meanwhile.
 func TestStallOfTheProcessDoesNotCountAgainstReaders(t *testing.T) {
 	sim := newSimulation(t, 1, 4, nil)
-	client := sim.stall()
+	client := sim.stall("")
 	sim.node.Pause()
 	for range 4 {
 		client.readSome()
@@ -188,8 +190,8 @@
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(t, 1, 4, nil)
 			sim.ingress.loop.memory.limit = int64(c.limit)
-			reader := sim.stall()
-			idle := sim.stall()
+			reader := sim.stall("")
+			idle := sim.stall("")
 			for waited := 10 * ms; waited < c.wait; waited += min(100*ms, c.wait-waited) {
 				reader.readSome()
 				sim.advance(min(100*ms, c.wait-waited))
@@ -197,7 +199,7 @@
 			if idle.ended {
 				t.Fatal("the client that reads nothing is closed before the memory runs short")
 			}
-			last := sim.stall()
+			last := sim.stall("")
 			if idle.ended != c.closed || reader.ended || last.ended {
 				t.Errorf("closed: reading nothing %v, want %v; reading %v, just stalled %v, want neither",
 					idle.ended, c.closed, reader.ended, last.ended)
@@ -217,3 +219,25 @@
 		})
 	}
 }
+
+// Guards against a client that is blamed for half a command whose rest the ingress did not read: nothing is read while
+// the answers before it are not taken.
+func TestRestOfACommandIsAwaitedWhileNothingIsRead(t *testing.T) {
+	sim := newSimulation(t, 1, 4, nil)
+	part, rest := partOfPayment(5000)
+	client := sim.stall(part)
+	client.send(rest)
+	sim.advance(partialCommandTimeout + 100*ms)
+	if client.ended {
+		t.Fatal("the connection was ended before its client has taken the answers")
+	}
+	sim.serveAll()
+	const served = "$1\r\nv\r\n"
+	for range 2*longAnswers + 2 {
+		client.readSome()
+		sim.advance(10 * ms)
+	}
+	if want := longReplyBytes + len(served); client.bytesRead != want || client.ended {
+		t.Errorf("the client got %d bytes, want %d; ended %v", client.bytesRead, want, client.ended)
+	}
+}
