Remember a request's id beyond its end only if it may have run, and bound the ids

What held the memory was told nowhere; the new line "memory" of /status/events shows it: 85,488 ids and 5.0 MB of heap in use at the first look, 697,784 and 22.8 MB 3 s later, while clients held 23 KB and customers' records 1.7 MB.

Cause: the id of each request was kept for 3.5 to 7 s, so that no copy of it runs a second time, also where the request had been refused at once, and without a bound.

Change: the id of a request that has ended is kept only if an attempt may have run. Ids take a thirty-second of memory_mb; beyond it new requests are refused, as nothing of them has run.

--- a/choice/view.go
+++ b/choice/view.go
@@ -34,6 +34,9 @@
 // Refusals returns how many requests this gateway has refused for a cause.
 func (g *Gateway) Refusals(c Cause) uint64 { return g.refusals[c] }
 
+// CustomerRecords returns the number of customer records that are held.
+func (g *Gateway) CustomerRecords() int { return len(g.records) }
+
 // InvalidReadings returns how many readings this gateway has dropped because no meter can show them:
 // negative, not a number, or beyond the customer's ceiling.
 func (g *Gateway) InvalidReadings() uint64 { return g.invalidReadings }
--- a/internal/ingress/admin_test.go
+++ b/internal/ingress/admin_test.go
@@ -82,7 +82,7 @@
 	c.line()
 	c.wantEnd()
 	_, text := r.adminCall("GET", "/status/events")
-	for _, want := range []string{" malformed=1 ", " read-failed=1 ", "ended none=1 ", "retries=0 ", "longest-round-ms="} {
+	for _, want := range []string{" malformed=1 ", " read-failed=1 ", "ended none=1 ", "retries=0 ", "longest-round-ms=", "memory clients=", " request-ids=2 customers=1 heap-live="} {
 		if !strings.Contains(text, want) {
 			t.Errorf("%q is missing from the events %q", want, text)
 		}
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -140,26 +140,6 @@
 	wantNone(t, "a forwarded duplicate", b.Got)
 }
 
-func TestRecentIDsExpire(t *testing.T) {
-	r := recentIDs{retention: 10}
-	for _, step := range []struct {
-		at   time.Duration
-		id   uint64
-		want bool
-	}{{0, 1, true}, {9, 1, false}, {10, 2, true}, {19, 1, false}, {20, 3, true}, {20, 2, false}, {30, 1, true}} {
-		if got := r.add(step.id, step.at); got != step.want {
-			t.Errorf("id %d at %d: new is %v, want %v", step.id, step.at, got, step.want)
-		}
-	}
-	if n := len(r.current) + len(r.previous); n > 3 {
-		t.Errorf("%d ids are remembered, want at most 3", n)
-	}
-	r.remove(3)
-	if !r.add(3, 31) {
-		t.Error("a removed id is still known")
-	}
-}
-
 // Guards against clients that keep a descriptor forever by sending nothing, or half a command.
 func TestSilentClientsAndPartialCommandsTimeOut(t *testing.T) {
 	r := newRig(t, nil, newBackend(t).member("b"))
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -22,6 +22,8 @@
 	clientMemoryDivisor   = 6    // memory held for clients: the process's memory divided by this
 	customerMemoryDivisor = 5    // memory for customer records: the process's memory divided by this
 	customerBytes         = 1400 // memory of one customer record, with its entries in the gateway's map and row
+	idMemoryDivisor       = 32   // memory for request ids: the process's memory divided by this
+	idBytes               = 32   // memory of one request id
 	recentRead            = 5 * time.Millisecond
 	idsMargin             = time.Second // request ids are remembered for so long beyond the longest deadline
 )
@@ -94,6 +96,7 @@
 	deadline    time.Duration
 	takenAt     time.Duration // when it was accepted
 	firstSentAt time.Duration // when its first attempt began
+	holdsID     bool          // its id was not known, and is remembered for it
 	state       lifecycle.Request
 	attempts    []*upstream.Attempt
 
@@ -114,7 +117,7 @@
 	for _, c := range cfg.Choice.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	l.ids.retention = longest + idsMargin
+	l.ids = recentIDs{retention: longest + idsMargin, limit: cfg.Limits.MemoryMB << 20 / idMemoryDivisor / idBytes}
 	l.pool = upstream.New(upstream.Config{MaxConnections: cfg.Limits.maxBackendConns(), BackendIdleTimeout: cfg.backendIdleTimeout,
 		ConnectTimeout: cfg.connectTimeout, ReportFields: cfg.Choice.ReportFields, TrustThreshold: cfg.TrustThreshold}, on, l)
 	on.Add(l.pool)
@@ -160,50 +163,34 @@
 	r.state = lifecycle.Request{Rules: &l.rules[r.class], Deadline: r.deadline}
 	l.metrics.open++
 	now := l.Now()
-	if l.ids.add(r.requestID, now) {
+	switch l.ids.add(r.requestID, now) {
+	case idAdded:
+		r.holdsID = true
 		l.gateway.Request(now, choice.Request{
 			ID: r.id, Class: r.class, Plan: r.plan, Customer: r.customer, TimeLeft: r.deadline - now,
 			Units: r.units, Spread: r.spread, First: r.first, ClientRetry: r.repeat,
 		})
-	} else {
-		// A copy of another client's open request: the value belongs to that request alone.
+	case idKnown: // a copy of another client's request: the value belongs to that request alone
 		l.answer(r, outcome{kind: duplicate})
+	case idsFull: // a copy of this request could not be told from it
+		l.events.memoryRefusals++
+		l.answer(r, outcome{kind: refused})
 	}
 	l.fleet.Step(now)
 	l.forgetIfDone(r)
 	l.deliverAnswers()
 }
 
-// recentIDs remembers the clients' request ids for one retention period at least, and for two at most.
-type recentIDs struct {
-	retention         time.Duration
-	rotatedAt         time.Duration
-	current, previous map[uint64]struct{}
-}
-
-// add remembers the id and returns false if it is known already.
-func (r *recentIDs) add(id uint64, now time.Duration) bool {
-	if r.current == nil || now-r.rotatedAt >= r.retention {
-		r.previous, r.current, r.rotatedAt = r.current, map[uint64]struct{}{}, now
-	}
-	if _, known := r.previous[id]; known {
-		return false
-	}
-	n := len(r.current)
-	r.current[id] = struct{}{}
-	return len(r.current) > n
-}
-
-func (r *recentIDs) remove(id uint64) {
-	delete(r.current, id)
-	delete(r.previous, id)
-}
-
-// forgetIfDone drops a request that has ended and has no attempt in flight.
+// forgetIfDone drops a request that has ended and has no attempt in flight. Its id is remembered only if it may have
+// run: otherwise a copy of it does no harm, and a flood of requests that are refused would use up the memory for ids.
 func (l *loop) forgetIfDone(r *request) {
-	if r.state.Finished() && r.state.InFlight() == 0 && l.requests[r.id] == r {
-		delete(l.requests, r.id)
-		l.memory.release(r.size)
+	if !r.state.Finished() || r.state.InFlight() > 0 || l.requests[r.id] != r {
+		return
+	}
+	delete(l.requests, r.id)
+	l.memory.release(r.size)
+	if r.holdsID && !r.state.MayHaveRun() {
+		l.ids.remove(r.requestID)
 	}
 }
 
@@ -216,9 +203,6 @@
 		if r.state.Abandon() {
 			l.metrics.open--
 			l.events.requestAbandoned(r)
-			if len(r.attempts) == 0 {
-				l.ids.remove(r.requestID) // no attempt was made: the id may be used again
-			}
 			l.withdraw(r)
 			l.gateway.Disconnected(l.Now(), r.id)
 			l.forgetIfDone(r)
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	runtimemetrics "runtime/metrics"
 	"strconv"
 
 	"wickarch/choice"
@@ -94,8 +95,25 @@
 }
 
 // AppendEvents appends counts of closed connections, ended attempts and failed system calls,
-// by reason.
+// by reason, and one line with what holds memory.
 func (i *Ingress) AppendEvents(b []byte) []byte {
 	b = i.loop.events.append(b)
-	return fmt.Appendf(b, "longest-round-ms=%d\n", i.loop.LongestRound().Milliseconds())
+	b = fmt.Appendf(b, "longest-round-ms=%d\n", i.loop.LongestRound().Milliseconds())
+	return i.appendMemory(b)
+}
+
+// heapMetrics are the runtime's metrics of the heap: what the last collection found in use, and that with what has been
+// allocated since.
+var heapMetrics = [...]string{"/gc/heap/live:bytes", "/memory/classes/heap/objects:bytes"}
+
+// appendMemory appends how many bytes are held for clients, how many request ids and customers are remembered, and the
+// size of the heap.
+func (i *Ingress) appendMemory(b []byte) []byte {
+	samples := make([]runtimemetrics.Sample, len(heapMetrics))
+	for n, name := range heapMetrics {
+		samples[n].Name = name
+	}
+	runtimemetrics.Read(samples)
+	return fmt.Appendf(b, "memory clients=%d request-ids=%d customers=%d heap-live=%d heap=%d\n", i.loop.memory.used, i.loop.ids.count(),
+		i.loop.gateway.CustomerRecords(), samples[0].Value.Uint64(), samples[1].Value.Uint64())
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -57,6 +57,9 @@
 // InFlight returns the number of attempts that have not ended.
 func (r *Request) InFlight() int { return int(r.inFlight) }
 
+// MayHaveRun reports whether an attempt that has ended may have run.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
+
 // BeginAttempt checks whether an attempt may begin, and registers it if so.
 func (r *Request) BeginAttempt(now time.Duration) Violation {
 	switch {
