Answer at the shutdown what arrived before it, also where it lies unread

Cause: Finish is to take what has arrived, and nothing after that. It read each connection once and then never again; what could not be read at that moment, because 128 commands were open, counted as not arrived.

Change: Finish notes its time. A request that arrived by then, as the system tells it, is accepted whenever it is read; a later one is refused behind the answers before it, and counted as late-refusals. Connections on which clients still send are ended after the longest deadline.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -68,7 +68,6 @@
 	readQueued   bool        // is in front.readQueue
 	flushQueued  bool        // is in front.dirty
 	closing      bool        // accepts no further command, and ends when all are answered
-	inputClosed  bool        // reads nothing more; only what has been read is processed
 	reason       closeReason // why the connection closes, if it does
 }
 
--- a/internal/ingress/closing.go
+++ b/internal/ingress/closing.go
@@ -37,19 +37,6 @@
 	c.resetTimer()
 }
 
-// finish reads what has arrived, and nothing after that: the connection ends behind the replies to all that was
-// read.
-func (c *client) finish() {
-	if c.net == nil || c.closing {
-		return
-	}
-	c.hasInput()
-	c.processInput()
-	if c.inputClosed = true; c.net != nil && !c.closing && !c.hasBacklog {
-		c.closeAfterReplies(closedShutdown)
-	}
-}
-
 // closeForAdmission closes the connection for the admission controller, unless it has input that was not read
 // yet: the poller reports a limited number of events per round, and a round may be late, so the clock alone would
 // blame the client for a delay of this process. A command that crosses the close counts as not read, and the
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -57,6 +57,7 @@
 	acceptsFailed    uint64
 	watchesFailed    uint64
 	memoryRefusals   uint64 // commands refused for want of memory
+	lateRefusals     uint64 // requests refused because they arrived after Finish
 	violations       lifecycle.Counts
 	details          *slog.Logger // nil: count only
 }
@@ -159,8 +160,8 @@
 			b = fmt.Appendf(b, " %s=%d", v, n)
 		}
 	}
-	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d watches-failed=%d memory-refusals=%d\n", e.retries, e.acceptsFailed, e.watchesFailed,
-		e.memoryRefusals)
+	return fmt.Appendf(b, "\nretries=%d accepts-failed=%d watches-failed=%d memory-refusals=%d late-refusals=%d\n", e.retries, e.acceptsFailed,
+		e.watchesFailed, e.memoryRefusals, e.lateRefusals)
 }
 
 // statusName returns the name of an attempt's status.
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -43,7 +43,8 @@
 	backlogAccepted int           // connections accepted since then
 	round           uint32        // counts the rounds from 1
 	draining        bool
-	finished        bool          // accepts no request but those that have arrived
+	finished        bool // accepts no request but those that have arrived by finishedAt
+	finishedAt      time.Duration
 	onHold          bool          // another process of this ingress still accepts clients
 	empty           chan struct{} // closed when no further connection is accepted and none is left
 }
@@ -245,9 +246,6 @@
 	f.clients = append(f.clients, c)
 	f.admission.Admit(&c.admissionConn, now)
 	c.resetTimer()
-	if f.finished { // it has waited in the backlog: only what it already holds is processed
-		c.finish()
-	}
 }
 
 // removeClient removes a closed connection from clients.
@@ -271,12 +269,21 @@
 	f.admission.Resume()
 }
 
-// finish stops accepting requests: those that have arrived completely are answered, and then each connection ends.
-// A later request could not be answered before the process has to end, and clients go on sending for as long as
-// they may.
+// finish stops accepting requests: those that have arrived are answered, also where they still lie unread behind the
+// limit of open ones. Clients go on sending for as long as they may. A later request could not be answered before the
+// process has to end, and is refused.
 func (f *front) finish() {
-	f.finished = true
+	f.finished, f.finishedAt = true, f.loop.Now()
+	for _, c := range f.clients {
+		c.markDirty() // ends it if nothing is open
+	}
+}
+
+// endConnections ends all connections behind the replies that are due, whatever their clients go on sending.
+func (f *front) endConnections() {
 	for _, c := range slices.Clone(f.clients) {
-		c.finish()
+		if !c.closing {
+			c.closeAfterReplies(closedShutdown)
+		}
 	}
 }
--- a/internal/ingress/input.go
+++ b/internal/ingress/input.go
@@ -27,7 +27,7 @@
 
 // hasMoreCommands reports whether the connection may take further commands now and there may be some.
 func (c *client) hasMoreCommands() bool {
-	return c.acceptsCommands() && (c.hasBacklog || !c.inputClosed && (c.readable || c.front.draining && c.hasInput()))
+	return c.acceptsCommands() && (c.hasBacklog || c.readable || c.front.draining && c.hasInput())
 }
 
 // processInput reads and starts commands, for as long as there are any and it is this connection's turn.
@@ -47,7 +47,7 @@
 				break
 			}
 		}
-		if !c.readable || c.inputClosed {
+		if !c.readable {
 			break
 		}
 		if turn == readBatch {
@@ -246,7 +246,13 @@
 		c.rejectCommand(err)
 		return
 	}
+	if c.front.finished && c.readAt > c.front.finishedAt {
+		owner.events.lateRefusals++
+		c.refuseCommand(cmd.class) // it could not be answered before the process has to end
+		return
+	}
 	if !owner.memory.tryReserve(size) {
+		owner.events.memoryRefusals++
 		c.refuseCommand(cmd.class)
 		return
 	}
@@ -275,13 +281,10 @@
 	c.replyError(err)
 }
 
-// refuseCommand answers a command that there is no memory for. Nothing has run, so the client may retry. Accepting more
-// would exhaust the memory of the whole process.
+// refuseCommand refuses a command that is not accepted as a request. Nothing has run, so the client may retry.
 func (c *client) refuseCommand(class int) {
-	owner := c.front.loop
-	owner.events.memoryRefusals++
 	if class != unknownClass {
-		owner.metrics.classes[class].Busy++
+		c.front.loop.metrics.classes[class].Busy++
 	}
 	c.reply(redcon.AppendError(nil, "BUSY"))
 }
@@ -292,9 +295,10 @@
 	c.skipped = nil
 	if skipped.err != nil {
 		c.rejectCommand(skipped.err)
-	} else {
-		c.refuseCommand(skipped.class)
+		return
 	}
+	c.front.loop.events.memoryRefusals++
+	c.refuseCommand(skipped.class)
 }
 
 // copyArgs copies the arguments out of the read buffer.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -89,12 +89,19 @@
 	i.front.closeListener()
 }
 
-// Finish stops accepting requests, on all connections.
+// Finish stops accepting requests, on all connections: those that arrive later are refused.
 func (i *Ingress) Finish() {
 	i.loop.events.shutdownPhase("finish")
 	i.front.finish()
 }
 
+// EndConnections ends the connections of clients that still send. It is called once all accepted requests have
+// been answered: the longest deadline after Finish.
+func (i *Ingress) EndConnections() {
+	i.loop.events.shutdownPhase("end connections")
+	i.front.endConnections()
+}
+
 // TakesClients reports whether this process is ready for clients.
 func (i *Ingress) TakesClients() bool { return i.loop.ready && !i.front.draining && i.front.ln != nil }
 
@@ -254,7 +261,13 @@
 	s.loop.Do(s.Finish)
 	select {
 	case <-empty:
-	case <-time.After(longest + finalAnswerGrace):
+		return nil
+	case <-time.After(longest):
+	}
+	s.loop.Do(s.EndConnections)
+	select {
+	case <-empty:
+	case <-time.After(finalAnswerGrace):
 		s.loop.Do(func() { s.loop.recordViolation(lifecycle.CheckExit(s.loop.metrics.open), nil) })
 	}
 	return nil
