Await the rest of a command, and commands behind invalid ones, in a drain

Seen (by reading, then by tests): in a drain a connection ended over commands that lay unread or had just been read, if it was paused after two invalid ones; and over a command of which a part had been read, if the rest took more than one turn of four reads.

Cause: a drain ends a connection when no reply is due and no command can be started at that moment. A pause, or half a command, counted as nothing left to do.

Change: in a drain a connection ends only between commands. One that is paused counts as busy for the admission controller, which otherwise looked at it again in each round.

TestDrainAnswersCommandsBehindInvalidOnes and TestDrainAwaitsTheRestOfACommand failed before.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -152,7 +152,7 @@
 			return
 		}
 	}
-	if c.first == nil && (c.closing || f.draining) && c.lingerUntil == 0 && (c.hasRequested || c.closing || c.admissionConn.Evicting()) {
+	if c.first == nil && (c.closing || f.draining && c.betweenCommands()) && c.lingerUntil == 0 && (c.hasRequested || c.closing || c.admissionConn.Evicting()) {
 		if !c.closing {
 			c.reason = closedDraining
 		}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -103,7 +103,7 @@
 func (c *client) reportActivity() {
 	switch {
 	case c.net == nil:
-	case c.first != nil, len(c.unwritten) > 0, len(c.partial) > 0, c.skipped != nil, c.closing:
+	case c.first != nil, len(c.unwritten) > 0, len(c.partial) > 0, c.skipped != nil, c.resumeAt > 0, c.closing:
 		c.front.admission.MarkBusy(&c.admissionConn, c.hasRequested)
 	default:
 		c.front.admission.MarkIdle(&c.admissionConn, c.front.loop.Now())
--- a/internal/ingress/finish_test.go
+++ b/internal/ingress/finish_test.go
@@ -81,3 +81,59 @@
 		t.Errorf("%d clients are left", n)
 	}
 }
+
+// Guards against commands that are lost in a drain because their connection was paused after invalid ones.
+func TestDrainAnswersCommandsBehindInvalidOnes(t *testing.T) {
+	invalid, request := encode("GET", "x")+encode("GET", "x"), encodeRequest("lookup", newID(), 1000)
+	for name, send := range map[string]func(sim *simulation, c *virtualClient){
+		"unread": func(sim *simulation, c *virtualClient) {
+			c.send(invalid)
+			sim.advance(5 * ms)
+			c.send(request)
+			sim.advance(5 * ms)
+			sim.do(sim.ingress.Drain)
+		},
+		"read": func(sim *simulation, c *virtualClient) {
+			c.send(invalid + request)
+			sim.advance(5 * ms)
+			sim.do(sim.ingress.Drain)
+		},
+		"read in the round of the drain": func(sim *simulation, c *virtualClient) {
+			c.send(invalid + request)
+			sim.net.After(latency, func() { sim.node.Loop.Post(sim.ingress.Drain) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 1, nil)
+			sim.serveAll()
+			c := sim.dial(encodeRequest("lookup", newID(), 1000))
+			sim.advance(20 * ms)
+			send(sim, c)
+			sim.advance(2 * invalidCommandDelay)
+			const served, rejected = "$1\r\nv\r\n", "-ERR unknown command\r\n"
+			if got, want := string(c.received), served+rejected+rejected+served; got != want || !c.ended || c.reset {
+				t.Errorf("the client got %q, want %q; ended %v, reset %v", got, want, c.ended, c.reset)
+			}
+		})
+	}
+}
+
+// Guards against a command that is lost because a part of it had been read when the drain ended its connection.
+func TestDrainAwaitsTheRestOfACommand(t *testing.T) {
+	for _, size := range []int{40, 5000} {
+		sim := newSimulation(t, 1, 1, nil)
+		sim.serveAll()
+		c := sim.dial(encodeRequest("lookup", newID(), 1000))
+		sim.advance(20 * ms)
+		part, rest := partOfPayment(size)
+		c.send(part)
+		sim.advance(5 * ms)
+		sim.do(sim.ingress.Drain)
+		sim.advance(100 * ms)
+		c.send(rest)
+		sim.advance(100 * ms)
+		if got, want := string(c.received), strings.Repeat("$1\r\nv\r\n", 2); got != want || !c.ended || c.reset {
+			t.Errorf("cut after %d bytes: the client got %q, want %q; ended %v, reset %v", size, got, want, c.ended, c.reset)
+		}
+	}
+}
--- a/internal/ingress/input.go
+++ b/internal/ingress/input.go
@@ -312,6 +312,12 @@
 	return args
 }
 
+// betweenCommands reports whether nothing has come of a command that has not been started.
+func (c *client) betweenCommands() bool {
+	paused := c.resumeAt > 0
+	return len(c.partial) == 0 && c.skipped == nil && !(paused && c.hasInput())
+}
+
 // hasInput reports whether there is something to read, whatever the poller has reported.
 func (c *client) hasInput() bool {
 	c.readable = c.readable || c.net.Pending()
