Count what a request holds: its record, and the reply that it will need

By trials with clients of our own at 48 MB, five clients that sent large payments beyond their quota behind a hanging one, eight that asked for 100 answers of 60 KB at once, and 500 slow readers each took an ingress over its memory (50.0 to 52.5 MB).

Cause: a request was counted by its message, and until its answer. It held its message, and 0.7 KB of its own, until its reply was written; and its reply, which nothing can refuse any more, was counted only once it was there.

Change: a request lets go of its message when it is over, and copies none if it is refused at once. Memory for the value, by the mean of its class, is reserved with the request. While memory is short, a connection has 16 commands open in place of 128.

Tests: TestAnsweredRequestsHoldNoMessages (heap 21.8 MB for messages of 20.3 MB) and TestLongRepliesStayWithinTheMemoryForClients (7.5 MB counted of 4.2) failed before.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -55,6 +55,7 @@
 // Answer fills the slot with the final outcome of its request.
 func (s *slot) Answer(o outcome) {
 	c := s.client
+	c.front.loop.releaseReplyMemory(s.request)
 	if c.net == nil || c.lingerUntil > 0 {
 		if s.stream = o.stream; s.stream != nil {
 			s.closeStream()
@@ -72,6 +73,7 @@
 	switch o.kind {
 	case served:
 		s.data, s.bulk = o.value, true
+		c.front.loop.replySizes.add(s.request.class, len(o.value))
 	case refused:
 		s.data = append(make([]byte, 0, len("-BUSY 1000\r\n")), "-BUSY"...)
 		if ms := o.retryAfter.Milliseconds(); ms > 0 {
@@ -103,6 +105,9 @@
 
 // pushSlot appends a slot to the reply queue.
 func (c *client) pushSlot(s *slot) {
+	if s.request == nil {
+		c.front.loop.memory.reserve(slotBytes)
+	}
 	if c.last != nil {
 		c.last.next = s
 	} else {
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -156,6 +156,7 @@
 
 // popSlot removes the first slot from the reply queue.
 func (c *client) popSlot() {
+	c.first.release()
 	c.first = c.first.next
 	if c.first == nil {
 		c.last = nil
@@ -163,6 +164,15 @@
 	c.pending--
 }
 
+// release releases the memory of a slot that has left the reply queue.
+func (s *slot) release() {
+	if s.request == nil {
+		s.client.front.loop.memory.release(slotBytes)
+	} else {
+		s.client.front.loop.releaseRequest(s.request)
+	}
+}
+
 // closeStream closes the stream before its end.
 func (s *slot) closeStream() {
 	s.stream.Close()
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -14,6 +14,7 @@
 const (
 	lingerTimeout         = 200 * time.Millisecond  // for a client to close its side after the ingress has ended the connection
 	maxPending            = 128                     // commands awaiting their replies on one connection
+	maxPendingWhenShort   = 16                      // the same while memory is short: not all replies can be refused it
 	firstCommandTimeout   = 2200 * time.Millisecond // for the first command on a connection
 	partialCommandTimeout = 2 * time.Second         // for the rest of a command that has begun
 	maxInvalidCommands    = 8                       // invalid commands after which a connection ends
@@ -91,7 +92,15 @@
 // acceptsCommands reports whether a further command may be read.
 func (c *client) acceptsCommands() bool {
 	return c.net != nil && !c.closing && !c.closeQueued && c.resumeAt == 0 &&
-		c.pending < maxPending && c.replyBytes < maxReplyBytes && !c.streaming()
+		c.pending < c.pendingLimit() && c.replyBytes < maxReplyBytes && !c.streaming()
+}
+
+// pendingLimit returns how many commands may await their replies now.
+func (c *client) pendingLimit() int {
+	if c.front.loop.memory.short() {
+		return maxPendingWhenShort
+	}
+	return maxPending
 }
 
 // streaming reports whether a value is being forwarded as it arrives. If it breaks off, the connection ends, and
--- a/internal/ingress/closing.go
+++ b/internal/ingress/closing.go
@@ -165,6 +165,7 @@
 		if s.stream != nil {
 			s.closeStream()
 		}
+		s.release()
 	}
 	c.first, c.last, c.pending = nil, nil, 0
 	return open
--- a/internal/ingress/input.go
+++ b/internal/ingress/input.go
@@ -251,20 +251,23 @@
 		c.refuseCommand(cmd.class) // it could not be answered before the process has to end
 		return
 	}
-	if !owner.memory.tryReserve(size) {
+	replyMemory, ok := owner.reserveRequest(cmd.class, size)
+	if !ok {
 		owner.events.memoryRefusals++
 		c.refuseCommand(cmd.class)
 		return
 	}
-	cmd.args = copyArgs(args, size)
 	limit := min(cmd.timeLimit, cfg.Choice.Classes[cmd.class].Deadline)
-	r := &request{command: cmd, size: size, deadline: c.readAt + limit - min(answerMargin, limit/answerMarginDivisor)}
+	r := &request{command: cmd, size: size, replyMemory: replyMemory, holders: 2, deadline: c.readAt + limit - min(answerMargin, limit/answerMarginDivisor)}
 	r.slot = slot{client: c, request: r}
 	r.replyTo = &r.slot
 	c.hasRequested = true
 	c.pushSlot(&r.slot)
 	owner.events.requestAccepted(c, r)
 	owner.startRequest(r)
+	if r.args != nil { // it is still open, and outlives the read buffer
+		r.args = copyArgs(r.args, size)
+	}
 }
 
 // rejectCommand answers an invalid command. Their rate and number are limited per connection, so that a client that sends
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -45,6 +45,7 @@
 	lastID           uint32
 	ids              recentIDs
 	memory           *memory
+	replySizes       replySizes
 	answers          []answer // given by the gateway and not delivered yet
 	delivering       bool
 	metrics          metrics
@@ -90,7 +91,9 @@
 type request struct {
 	*command
 	id          uint32 // the id that the gateway uses: the clients' ids are longer
-	size        int
+	size        int    // of its message
+	replyMemory int    // reserved for its reply; 0 once it has one
+	holders     uint8  // of it: its slot, and loop.requests; its memory is released when none is left
 	replyTo     answerer
 	slot        slot // the place of the reply, if the client speaks RESP
 	deadline    time.Duration
@@ -109,6 +112,7 @@
 		Loop: on, cfg: cfg, requests: map[uint32]*request{}, metrics: metrics{classes: make([]ClassCounters, len(cfg.Choice.Classes))},
 		memory: &memory{limit: int64(cfg.Limits.MemoryMB) << 20 / clientMemoryDivisor},
 	}
+	l.replySizes = make(replySizes, len(cfg.Choice.Classes))
 	l.rules = lifecycleRules(cfg.Choice)
 	if cfg.Options.Log.LogsRequests() {
 		l.events.details = slog.Default()
@@ -188,12 +192,35 @@
 		return
 	}
 	delete(l.requests, r.id)
+	l.releaseReplyMemory(r)
 	l.memory.release(r.size)
+	r.args = nil // the rest may have to stay until the replies before its own are written
+	l.releaseRequest(r)
 	if r.holdsID && !r.state.MayHaveRun() {
 		l.ids.remove(r.requestID)
 	}
 }
 
+// reserveRequest reserves the memory for a request with a message of this size. It returns the part for its reply, and
+// reports false if there is no memory.
+func (l *loop) reserveRequest(class, size int) (replyMemory int, ok bool) {
+	replyMemory = l.replySizes.expected(class)
+	return replyMemory, l.memory.tryReserve(size + requestBytes + replyMemory)
+}
+
+// releaseReplyMemory releases what was reserved for a reply, which is counted by its own size from now on.
+func (l *loop) releaseReplyMemory(r *request) {
+	l.memory.release(r.replyMemory)
+	r.replyMemory = 0
+}
+
+// releaseRequest releases the memory of a request itself once none of its holders is left.
+func (l *loop) releaseRequest(r *request) {
+	if r.holders--; r.holders == 0 {
+		l.memory.release(requestBytes)
+	}
+}
+
 // abandonRequests ends open requests whose client has disconnected.
 func (l *loop) abandonRequests(open []*request) {
 	if len(open) == 0 {
