Send nothing on for a client whose end may lie behind unread input

Cause: while 128 commands are open nothing is read, and the end of a connection shows only if all that the client has written fits into the socket. Commands that had been read before were started in the round of the first answer after the close, before the client's machine could reject it; the check before each attempt looked away for 5 ms from a request's start, not from its arrival; and open requests were tried again.

Change: where 16 KiB lie unread and nothing has arrived for 50 ms, commands wait until the client's machine has acknowledged the replies just written, for 0.1 s at most, and no attempt is begun unless it did so within 0.1 s. The simulated network holds a receiver's window.

--- a/internal/ingress/admin_test.go
+++ b/internal/ingress/admin_test.go
@@ -132,7 +132,7 @@
 				t.Error("an attempt may not be written though its client waits")
 			}
 			c.nc.Close()
-			for end := time.Now().Add(testTimeout); (!open.replyTo.Disconnected() || l.Now()-open.takenAt < recentRead) && time.Now().Before(end); {
+			for end := time.Now().Add(testTimeout); (!open.replyTo.MayHaveLeft() || l.Now()-open.arrivedAt < recentRead) && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
 			if a := open.attempts[0]; l.MayWrite(a) {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -49,8 +49,8 @@
 	duplicateReply = []byte("-ERR the request id is in use\r\n")
 )
 
-// Disconnected reports whether the client has disconnected.
-func (s *slot) Disconnected() bool { return s.client.net == nil || s.client.net.Disconnected() }
+// MayHaveLeft reports whether the client has left, or may have unnoticed.
+func (s *slot) MayHaveLeft() bool { return s.client.mayHaveLeft() }
 
 // Answer fills the slot with the final outcome of its request.
 func (s *slot) Answer(o outcome) {
@@ -171,6 +171,9 @@
 // alone; other connections are not delayed.
 func (c *client) write(b []byte) bool {
 	f := c.front
+	if c.readDelayed {
+		c.repliedAt = f.loop.Now()
+	}
 	n, err := c.net.Write(b)
 	c.replyBytes -= n
 	f.loop.memory.release(n)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -36,7 +36,6 @@
 	front           *front
 	net             reactor.Conn // nil once closed
 	number          uint64       // in the order of acceptance, for logs
-	index           int          // in front.clients
 	invalidCommands int32        // so far
 	turnRound       uint32       // front.round in which the connection last had its turn to read
 	admissionConn   admission.Conn[*client]
@@ -60,6 +59,9 @@
 
 	stallEntry *list.Element // in front.stalled; nil while the socket accepts all replies
 
+	repliedAt time.Duration // when replies were last written while input lay unread
+
+	index        int32       // in front.clients
 	hasRequested bool        // has sent a request that was accepted
 	readTimed    bool        // readDeadline has been set for this command or the one before
 	readable     bool        // the socket may have more to read
--- a/internal/ingress/disconnect_test.go
+++ b/internal/ingress/disconnect_test.go
@@ -133,3 +133,69 @@
 		}
 	}
 }
+
+// Guards against requests that are sent on for a client that has closed its connection: its end lay behind more than
+// the socket holds, and nothing was read while the first answer was awaited.
+func TestRequestsBehindAFullWindowAreNotSentAfterTheirClientClosed(t *testing.T) {
+	const behind = 1200
+	for _, latency := range []time.Duration{ms / 2, 15 * ms} {
+		for seed := uint64(1); seed <= 4; seed++ {
+			sim := newSimulation(t, seed, 4, nil)
+			sim.net.Faults.Latency, sim.net.Faults.Window, sim.net.Faults.Buffer = latency, 32<<10, 1<<20
+			unanswered := map[string]bool{}
+			sim.onAttempt = func(a *scriptedAttempt) {
+				if !unanswered[a.args[2]] {
+					a.serve("v")
+				}
+			}
+			send := func(class string, limit int, answered bool) string {
+				id := newID()
+				unanswered[id] = !answered
+				return encodeRequest(class, id, limit)
+			}
+			c := sim.dial(send("payment", 1000, false))
+			sim.advance(2*latency + ms)
+			for n := range behind {
+				c.send(send("lookup", 20_000, n%40 > 0)) // those that are not answered are tried again
+			}
+			sim.advance(300 * ms)
+			c.conn.Close()
+			closedAt := sim.net.Now()
+			sim.advance(5 * time.Second)
+			late := 0
+			for _, a := range sim.attempts {
+				if a.begunAt > closedAt+100*ms {
+					late++
+				}
+			}
+			if late > 0 || len(sim.attempts) < 2 || sim.ingress.Usage() != (Usage{Backends: sim.ingress.Usage().Backends}) {
+				t.Errorf("latency %v, seed %d: %d of %d attempts began over 0.1 s after the close; the ingress holds %+v",
+					latency, seed, late, len(sim.attempts), sim.ingress.Usage())
+			}
+		}
+	}
+}
+
+// A client that is still there gets all its answers, however long they waited behind one that hangs, and whether or not
+// its machine acknowledges what it does not read.
+func TestRequestsBehindAFullWindowAreAnswered(t *testing.T) {
+	const behind = 1200
+	sim := newSimulation(t, 1, 4, nil)
+	sim.net.Faults.Window, sim.net.Faults.Buffer = 32<<10, 1<<20
+	sim.onAttempt = func(a *scriptedAttempt) {
+		if a.args[0] == "Q.ASK" {
+			a.serve("v")
+		}
+	}
+	c := sim.dial(encodeRequest("payment", newID(), 1000)) // never answered
+	sim.advance(5 * ms)
+	for range behind {
+		c.send(encodeRequest("lookup", newID(), 20_000))
+	}
+	sim.advance(3 * time.Second)
+	servedCount, refusedCount, failedCount := c.outcomes()
+	if servedCount+refusedCount != behind || failedCount != 1 || c.ended {
+		t.Errorf("%d served, %d refused, %d failed; ended %v, want %d answers and the failed payment", servedCount, refusedCount,
+			failedCount, c.ended, behind)
+	}
+}
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -241,7 +241,7 @@
 		f.noteShortage(now)
 		return
 	}
-	c.index, c.readDeadline, c.readTimed = len(f.clients), now+firstCommandTimeout, true
+	c.index, c.readDeadline, c.readTimed = int32(len(f.clients)), now+firstCommandTimeout, true
 	f.loop.events.connectionAccepted(c)
 	f.clients = append(f.clients, c)
 	f.admission.Admit(&c.admissionConn, now)
--- a/internal/ingress/input.go
+++ b/internal/ingress/input.go
@@ -41,6 +41,11 @@
 			c.readDelayed = c.readable
 			break
 		}
+		if c.awaitsPresence() {
+			c.resumeAt = c.front.loop.Now() + presenceCheckInterval
+			c.resetTimer()
+			break
+		}
 		if c.hasBacklog {
 			c.startCommands(c.partial)
 			if !c.acceptsCommands() {
@@ -258,7 +263,7 @@
 		return
 	}
 	limit := min(cmd.timeLimit, cfg.Choice.Classes[cmd.class].Deadline)
-	r := &request{command: cmd, size: size, replyMemory: replyMemory, holders: 2, deadline: c.readAt + limit - min(answerMargin, limit/answerMarginDivisor)}
+	r := &request{command: cmd, size: size, arrivedAt: c.readAt, replyMemory: replyMemory, holders: 2, deadline: c.readAt + limit - min(answerMargin, limit/answerMarginDivisor)}
 	r.slot = slot{client: c, request: r}
 	r.replyTo = &r.slot
 	c.hasRequested = true
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -78,8 +78,8 @@
 // running.
 type answerer interface {
 	Answer(outcome)
-	// Disconnected reports whether the receiver of the answer has left, as far as the system knows.
-	Disconnected() bool
+	// MayHaveLeft reports whether the receiver of the answer has left, or may have unnoticed.
+	MayHaveLeft() bool
 }
 
 type answer struct {
@@ -97,7 +97,7 @@
 	replyTo     answerer
 	slot        slot // the place of the reply, if the client speaks RESP
 	deadline    time.Duration
-	takenAt     time.Duration // when it was accepted
+	arrivedAt   time.Duration // when its last byte had arrived
 	firstSentAt time.Duration // when its first attempt began
 	holdsID     bool          // its id was not known, and is remembered for it
 	state       lifecycle.Request
@@ -163,7 +163,6 @@
 	}
 	r.id = l.lastID
 	l.requests[r.id] = r
-	r.takenAt = l.Now()
 	r.state = lifecycle.Request{Rules: &l.rules[r.class], Deadline: r.deadline}
 	l.metrics.open++
 	now := l.Now()
@@ -442,9 +441,9 @@
 	if l.recordViolation(r.state.CheckWrite(l.Now()), r) {
 		return false
 	}
-	// Just after the request was read, its client can't have disconnected unnoticed. Later, the event that reports
+	// Just after the request has arrived, its client can't have disconnected unnoticed. Later, the event that reports
 	// the disconnect may be late.
-	return l.Now()-r.takenAt < recentRead && !l.InputMayBeStale() || !r.replyTo.Disconnected()
+	return l.Now()-r.arrivedAt < recentRead && !l.InputMayBeStale() || !r.replyTo.MayHaveLeft()
 }
 
 // recordViolation counts and logs a step that the rule on requests forbids, and reports whether v is one. The
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -63,6 +63,9 @@
 	// Pending reports whether a Read would return data or the end of the stream.
 	// It asks the system, regardless of the events reported so far.
 	Pending() bool
+	// Unread is the number of bytes that have arrived and were not read; 0 if that
+	// is unknown.
+	Unread() int
 	// SinceLastReceive is the time since data last arrived, read or not; 0 if
 	// that is unknown.
 	SinceLastReceive() time.Duration
--- a/internal/reactor/simnet/conn.go
+++ b/internal/reactor/simnet/conn.go
@@ -204,6 +204,9 @@
 			c.received = nil
 		}
 		c.freePeerBuffer(n)
+		if c.node.net.Faults.Window > 0 && c.peer != nil {
+			c.node.net.After(c.node.net.latency(), c.peer.deliver)
+		}
 		return n, nil
 	case c.wasReset:
 		return 0, errReset
@@ -237,8 +240,14 @@
 // Disconnected reports whether either side has closed the connection or it was reset.
 func (c *conn) Disconnected() bool { return c.closed || c.peerEnded || c.wasReset }
 
-// HasUnacked reports whether packets are in transit to the peer.
-func (c *conn) HasUnacked() bool { return !c.closed && len(c.sending) > 0 }
+// HasUnacked reports whether packets are in transit to the peer, or their acknowledgement is on its way back.
+func (c *conn) HasUnacked() bool {
+	n := c.node.net
+	return !c.closed && (len(c.sending) > 0 || c.lastArrival > 0 && n.now < c.lastArrival+n.Faults.Latency+n.Faults.Jitter)
+}
+
+// Unread returns the number of bytes that have arrived and were not read.
+func (c *conn) Unread() int { return len(c.received) }
 
 func (c *conn) Pending() bool { return c.closed || len(c.received) > 0 || c.peerEnded || c.wasReset }
 
@@ -366,11 +375,20 @@
 			return
 		}
 		p := c.sending[0]
+		if !c.peer.hasWindowFor(p) {
+			return // until the peer reads
+		}
 		c.sending = c.sending[1:]
 		c.peer.receive(p)
 	}
 }
 
+// hasWindowFor reports whether a packet fits into what this end's machine may hold. One that is empty accepts any.
+func (c *conn) hasWindowFor(p packet) bool {
+	window := c.node.net.Faults.Window
+	return window == 0 || p.reset || c.closed || len(c.received) == 0 || len(c.received)+max(1, len(p.data)) <= window
+}
+
 // markReset resets this end: unread data is lost.
 func (c *conn) markReset() {
 	if c.closed || c.machineDown || c.wasReset {
--- a/internal/reactor/simnet/net.go
+++ b/internal/reactor/simnet/net.go
@@ -34,6 +34,7 @@
 	Lose      float64       // probability that a connect is never answered
 	Lag       time.Duration // maximum delay of a round
 	Buffer    int           // maximum unread bytes in each direction; 0: 64 KB
+	Window    int           // of them, the maximum at the receiver's machine: the rest, and what follows it, waits at the sender's; 0: no maximum
 	Backlog   int           // maximum connections waiting to be accepted; 0: 128
 }
 
--- a/internal/reactor/sockets.go
+++ b/internal/reactor/sockets.go
@@ -260,12 +260,22 @@
 	return false
 }
 
+// Unread asks for the size of the receive queue.
+func (k *socket) Unread() int { return k.queueSize(syscall.TIOCINQ) }
+
 // HasUnacked asks for the size of the send queue, which holds the bytes that the
 // peer's kernel has not acknowledged. It is false if that is unknown.
 func (k *socket) HasUnacked() bool {
+	return k.queueSize(syscall.TIOCOUTQ) > 1 // this side's FIN counts as one byte
+}
+
+// queueSize returns the size of one of the socket's queues; 0 if that is unknown.
+func (k *socket) queueSize(request uintptr) int {
 	var n int32
-	_, _, e := syscall.RawSyscall(syscall.SYS_IOCTL, uintptr(k.fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
-	return e == 0 && n > 1 // this side's FIN counts as one byte
+	if _, _, e := syscall.RawSyscall(syscall.SYS_IOCTL, uintptr(k.fd), request, uintptr(unsafe.Pointer(&n))); e != 0 {
+		return 0
+	}
+	return int(n)
 }
 
 func (k *socket) CloseWrite() { _ = syscall.Shutdown(k.fd, syscall.SHUT_WR) }
