Leave the ids of accepted requests to the process that takes over

A payment that had been answered, and one that was out when its client left, each ran a second time when its id came to the process that had taken over the listening socket (TestRequestIDIsKnownToTheNextProcess on the state before).

Cause: a process keeps the ids of its requests in its memory alone.

Change: a process that stops accepts its last request, then writes the ids of those that are open or may have run to the folder that both share, and only then releases the lock; the next one reads them before it takes clients.

--- a/cmd/wickarch/replace_test.go
+++ b/cmd/wickarch/replace_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"wickarch/internal/standin"
 )
@@ -114,3 +115,41 @@
 	s.node.Listen, s.node.Files = listener.Addr().String(), []*os.File{file}
 	return s.node.Listen
 }
+
+// Guards against a request that runs twice because its id comes again at the next process: once after its answer, and
+// once while it is still out and its client has left.
+func TestRequestIDIsKnownToTheNextProcess(t *testing.T) {
+	s := newTestEnv(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384})
+	s.shareListener()
+	env := []string{"NODE_PASSED_SOCKET=3", "TMPDIR=" + t.TempDir()}
+	s.startProcess(nil, env...)
+	before := s.Process
+	ids := []string{standin.NewID(), standin.NewID(), standin.NewID()}
+	c := s.dial()
+	if got := c.Ask(ids[0], standin.Payment(1000, ids[0], 5000)...); got != standin.Served {
+		t.Fatalf("request outcome %v, want served", got)
+	}
+	s.startProcess(nil, env...) // waits beside the one before
+	leaving := s.dial()
+	if err := leaving.Send(standin.Payment(1000, ids[1], 5000)...); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(waitTimeout); s.effects.Count(ids[1]) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the second request did not reach a backend")
+		}
+	}
+	leaving.Close()
+	if err := before.Stop(waitTimeout); err != nil {
+		t.Fatalf("the previous process exited with %v", err)
+	}
+	next := s.dial()
+	for n, want := range []standin.Outcome{standin.Failed, standin.Failed, standin.Served} {
+		if got := next.Ask(ids[n], standin.Payment(1000, ids[n], 5000)...); got != want {
+			t.Errorf("outcome of id %d at the next process is %v, want %v", n, got, want)
+		}
+		if ran := s.effects.Count(ids[n]); ran != 1 {
+			t.Errorf("the request with id %d ran %d times, want once", n, ran)
+		}
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,6 +21,7 @@
 
 // Lock is the right to take clients, held or waited for by one process.
 type Lock struct {
+	dir        string
 	held, next *os.File // locked by the process that takes clients, and by the one that waits
 }
 
@@ -36,7 +37,7 @@
 }
 
 func open(dir string) (*Lock, error) {
-	var c Lock
+	c := Lock{dir: dir}
 	for name, file := range map[string]**os.File{"wickarch.held": &c.held, "wickarch.next": &c.next} {
 		f, err := os.OpenFile(filepath.Join(dir, name), os.O_RDWR|os.O_CREATE, 0o600)
 		if err != nil {
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -43,8 +43,8 @@
 	backlogAccepted int           // connections accepted since then
 	round           uint32        // counts the rounds from 1
 	draining        bool
-	finished        bool // accepts no request but those that have arrived by finishedAt
-	finishedAt      time.Duration
+	finished        bool // accepts no request but those that have arrived by acceptedUntil
+	acceptedUntil   time.Duration
 	onHold          bool          // another process of this ingress still accepts clients
 	empty           chan struct{} // closed when no further connection is accepted and none is left
 }
@@ -271,9 +271,11 @@
 
 // finish stops accepting requests: those that have arrived are answered, also where they still lie unread behind the
 // limit of open ones. Clients go on sending for as long as they may. A later request could not be answered before the
-// process has to end, and is refused.
-func (f *front) finish() {
-	f.finished, f.finishedAt = true, f.loop.Now()
+// process has to end, and is refused. If acceptUnread is not set, what lies unread is refused as well.
+func (f *front) finish(acceptUnread bool) {
+	if f.finished = true; acceptUnread {
+		f.acceptedUntil = f.loop.Now()
+	}
 	for _, c := range f.clients {
 		c.markDirty() // ends it if nothing is open
 	}
--- a/internal/ingress/input.go
+++ b/internal/ingress/input.go
@@ -251,7 +251,7 @@
 		c.rejectCommand(err)
 		return
 	}
-	if c.front.finished && c.readAt > c.front.finishedAt {
+	if c.front.finished && c.readAt > c.front.acceptedUntil {
 		owner.events.lateRefusals++
 		c.refuseCommand(cmd.class) // it could not be answered before the process has to end
 		return
--- a/internal/ingress/recentids.go
+++ b/internal/ingress/recentids.go
@@ -1,6 +1,10 @@
 package ingress
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // recentIDs remembers the ids of open requests and of those that may have run. An id is remembered for one retention
 // period at least, and for two at most.
@@ -41,6 +45,21 @@
 	return idAdded
 }
 
+// addAll remembers the ids of another process, whatever their number.
+func (r *recentIDs) addAll(ids []uint64, now time.Duration) {
+	if r.current == nil {
+		r.current, r.rotatedAt = map[uint64]struct{}{}, now
+	}
+	for _, id := range ids {
+		r.current[id] = struct{}{}
+	}
+}
+
+// all returns the ids that are remembered.
+func (r *recentIDs) all() []uint64 {
+	return slices.AppendSeq(slices.Collect(maps.Keys(r.current)), maps.Keys(r.previous))
+}
+
 // count returns the number of ids that are remembered.
 func (r *recentIDs) count() int { return len(r.current) + len(r.previous) }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -92,7 +92,15 @@
 // Finish stops accepting requests, on all connections: those that arrive later are refused.
 func (i *Ingress) Finish() {
 	i.loop.events.shutdownPhase("finish")
-	i.front.finish()
+	i.front.finish(true)
+}
+
+// HandOver is Finish for an ingress that another process of it continues. Requests that lie unread are refused, too:
+// no request is accepted any more that is not among the ids that it returns.
+func (i *Ingress) HandOver() (ids []uint64) {
+	i.loop.events.shutdownPhase("hand over")
+	i.front.finish(false)
+	return i.loop.ids.all()
 }
 
 // EndConnections ends the connections of clients that still send. It is called once all accepted requests have
@@ -141,8 +149,10 @@
 func (i *Ingress) AwaitHandover() { i.front.onHold = true }
 
 // TakeOver ends AwaitHandover. This process's shares of customers' ceilings fill only
-// from now on, as the previous process may have spent those until now.
-func (i *Ingress) TakeOver() {
+// from now on, as the previous process may have spent those until now. ids are those of the
+// requests that it has accepted: a request that comes with one of them may have run.
+func (i *Ingress) TakeOver(ids []uint64) {
+	i.loop.ids.addAll(ids, i.loop.Now())
 	i.loop.gateway.PredecessorStopped(i.loop.Now())
 	i.front.onHold = false
 }
@@ -212,12 +222,7 @@
 	defer s.sockets.Close()
 	if s.handover != nil {
 		defer s.handover.Close()
-		go func() {
-			if err := s.handover.Acquire(); err != nil {
-				slog.Warn("handover lock failed; accepting clients beside the process before", "error", err)
-			}
-			s.loop.Post(s.TakeOver)
-		}()
+		go s.awaitHandover()
 	}
 	defer func() {
 		s.loop.Post(s.loop.Stop)
@@ -250,15 +255,15 @@
 		s.waitForLateClients()
 	}
 	s.loop.Do(s.CloseListener)
-	if s.handover != nil {
-		_ = s.handover.Release() // Close, deferred above, releases it at the latest
-	}
 	select {
 	case <-empty:
-		return nil
 	case <-time.After(firstRequestGrace):
 	}
-	s.loop.Do(s.Finish)
+	if s.handover != nil {
+		s.releaseHandover()
+	} else {
+		s.loop.Do(s.Finish)
+	}
 	select {
 	case <-empty:
 		return nil
@@ -272,3 +277,25 @@
 	}
 	return nil
 }
+
+// awaitHandover waits until the process before has stopped, and takes over from it.
+func (s *Server) awaitHandover() {
+	if err := s.handover.Acquire(); err != nil {
+		slog.Warn("handover lock failed; accepting clients beside the process before", "error", err)
+	}
+	ids, err := s.handover.TakeIDs()
+	if err != nil {
+		slog.Warn("the request ids of the process before are unknown; a copy of its requests may run again", "error", err)
+	}
+	s.loop.Post(func() { s.TakeOver(ids) })
+}
+
+// releaseHandover stops accepting requests, and lets the next process begin.
+func (s *Server) releaseHandover() {
+	var ids []uint64
+	s.loop.Do(func() { ids = s.HandOver() })
+	if err := s.handover.WriteIDs(ids); err != nil {
+		slog.Warn("the next process will not know the ids of this one's requests", "error", err)
+	}
+	_ = s.handover.Release() // Close releases it at the latest
+}
